--- /dev/null
+++ b/agent/src/main/kotlin/P.kt
@@ -0,0 +1,3 @@
+package io.kumquattrail.agent
+
+internal const val PLACEHOLDER: Int = 1
--- /dev/null
+++ b/command/src/main/kotlin/P.kt
@@ -0,0 +1,3 @@
+package io.kumquattrail.command
+
+internal const val PLACEHOLDER: Int = 1
--- /dev/null
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/refusal/Refusal.kt
@@ -0,0 +1,60 @@
+package io.kumquattrail.decision.refusal
+
+import kotlin.time.Duration
+
+/** Says what is known about whether a refused request has run. [label] is the value of the problem's member `run`. */
+enum class RunState(
+    val label: String,
+) {
+    /** It is proved that no attempt has run or can still run. */
+    NO("no"),
+
+    /** An attempt may have run or may still run. */
+    UNKNOWN("unknown"),
+}
+
+/**
+ * Lists the reasons for which a request is refused.
+ *
+ * @property type last segment of the problem's `type`, stable across releases.
+ * @property status HTTP status of the answer.
+ */
+enum class RefusalReason(
+    val type: String,
+    val status: Int,
+) {
+    MALFORMED_REQUEST("malformed-request", 400),
+    UNKNOWN_ORGANISATION("unknown-organisation", 401),
+    UNKNOWN_SERVICE("unknown-service", 404),
+    REQUEST_TIMEOUT("request-timeout", 408),
+    REQUEST_TOO_LARGE("request-too-large", 413),
+    KEY_NOT_SUPPORTED("key-not-supported", 422),
+    KEY_REUSED("key-reused", 422),
+    KEY_IN_PROGRESS("key-in-progress", 409),
+    KEY_REFUSED_BEFORE("key-refused-before", 409),
+    KEY_OUTCOME_UNKNOWN("key-outcome-unknown", 503),
+    KEY_OWNER_UNREACHABLE("key-owner-unreachable", 503),
+    ORGANISATION_LIMIT("organisation-limit", 429),
+    OVERLOADED("overloaded", 503),
+    NO_SERVER_AVAILABLE("no-server-available", 503),
+    NOT_READY("not-ready", 503),
+    SHUTTING_DOWN("shutting-down", 503),
+    DEADLINE_EXCEEDED("deadline-exceeded", 504),
+    SERVER_FAILED("server-failed", 502),
+    REQUEST_CRASHES_SERVERS("request-crashes-servers", 422),
+}
+
+/**
+ * Refuses a request truthfully.
+ *
+ * @property detail one sentence for the person who reads the answer.
+ * @property retryAfter time after which a new sending has a chance, or `null` when waiting does not help.
+ * @property ticket value for the `Idempotency-Ticket` header of a new sending, or `null`.
+ */
+data class Refusal(
+    val reason: RefusalReason,
+    val runState: RunState,
+    val detail: String,
+    val retryAfter: Duration? = null,
+    val ticket: String? = null,
+)
--- /dev/null
+++ b/gateway/src/main/kotlin/P.kt
@@ -0,0 +1,3 @@
+package io.kumquattrail.gateway
+
+internal const val PLACEHOLDER: Int = 1
--- /dev/null
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
@@ -0,0 +1,10 @@
+package io.kumquattrail.measure
+
+/** Lists all measurements that the command line offers. */
+object Measurements {
+    val all: List<Measurement> =
+        listOf()
+
+    /** Finds the measurement called [name], or `null`. */
+    fun find(name: String): Measurement? = all.find { it.name == name }
+}
--- /dev/null
+++ b/node/src/main/kotlin/P.kt
@@ -0,0 +1,3 @@
+package io.kumquattrail.node
+
+internal const val PLACEHOLDER: Int = 1
--- /dev/null
+++ b/standin/src/main/kotlin/P.kt
@@ -0,0 +1,3 @@
+package io.kumquattrail.standin
+
+internal const val PLACEHOLDER: Int = 1
