--- a/agent/src/main/kotlin/P.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package io.kumquattrail.agent
-
-internal const val PLACEHOLDER: Int = 1
--- a/gateway/src/main/kotlin/P.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package io.kumquattrail.gateway
-
-internal const val PLACEHOLDER: Int = 1
--- a/node/src/main/kotlin/P.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package io.kumquattrail.node
-
-internal const val PLACEHOLDER: Int = 1
--- a/standin/src/main/kotlin/P.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package io.kumquattrail.standin
-
-internal const val PLACEHOLDER: Int = 1
