--- /dev/null
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/delivery/RetryPolicy.kt
@@ -0,0 +1,203 @@
+package io.kumquattrail.decision.delivery
+
+import io.kumquattrail.decision.refusal.Refusal
+import io.kumquattrail.decision.refusal.RefusalReason
+import io.kumquattrail.decision.refusal.RunState
+import io.kumquattrail.decision.time.MonotonicTime
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Lists how an attempt can end without an answer. */
+sealed interface AttemptOutcome {
+    /** The agent proved that the attempt did not run. */
+    data class NotRun(
+        val frame: FrameContent.NotRun,
+    ) : AttemptOutcome
+
+    /** No connection to the agent was made, so nothing was sent. */
+    data object ConnectionFailed : AttemptOutcome
+
+    /** The attempt was sent, or may have been, and no answer comes. */
+    data class Lost(
+        val detail: String,
+    ) : AttemptOutcome
+}
+
+/**
+ * Describes how far a call has come.
+ *
+ * @property attempts number of attempts so far.
+ * @property round round of the key in the latest attempt.
+ * @property mayHaveRun whether an attempt may have run or may still run; the outcome in question is included.
+ * @property canResume whether another attempt can complete what the caller has received so far.
+ */
+data class CallProgress(
+    val kind: WorkKind,
+    val deadline: MonotonicTime,
+    val attempts: Int,
+    val round: Int = 0,
+    val mayHaveRun: Boolean = false,
+    val canResume: Boolean = true,
+)
+
+/** Says what a gateway does after an attempt without an answer. */
+sealed interface RetryDecision {
+    /** Sends another attempt to a server that has not failed this call, resuming after the written tokens. */
+    data object RetryElsewhere : RetryDecision
+
+    /** Sends another attempt to the key's owner in [round] after [delay]. */
+    data class RetryOwner(
+        val round: Int,
+        val delay: Duration,
+    ) : RetryDecision
+
+    /** Refuses the call. */
+    data class Refuse(
+        val refusal: Refusal,
+    ) : RetryDecision
+}
+
+/**
+ * Bounds the retries of one call.
+ *
+ * @property maximumAttempts attempts of a call that any server may run.
+ * @property maximumOwnerAttempts attempts of a call that only the key's owner may run.
+ * @property ownerDelay time before the second attempt at the key's owner; it doubles up to [maximumOwnerDelay].
+ */
+data class RetryLimits(
+    val maximumAttempts: Int = 4,
+    val maximumOwnerAttempts: Int = 16,
+    val ownerDelay: Duration = 20.milliseconds,
+    val maximumOwnerDelay: Duration = 1_000.milliseconds,
+)
+
+/**
+ * Decides what a gateway does after each attempt without an answer.
+ *
+ * Work that must not be repeated is never sent again after it may have run, except to the key's owner, which runs a key
+ * at most once.
+ */
+class RetryPolicy(
+    private val permission: RetryPermission,
+    private val limits: RetryLimits = RetryLimits(),
+) {
+    /** Decides how a call goes on after [outcome]. */
+    fun decide(
+        progress: CallProgress,
+        outcome: AttemptOutcome,
+        now: MonotonicTime,
+    ): RetryDecision =
+        when (progress.kind) {
+            WorkKind.KEYED -> decideKeyed(progress, outcome, now)
+            WorkKind.REPEATABLE, WorkKind.SINGLE -> decideUnkeyed(progress, outcome, now)
+        }
+
+    private fun decideUnkeyed(
+        progress: CallProgress,
+        outcome: AttemptOutcome,
+        now: MonotonicTime,
+    ): RetryDecision {
+        val repeatable =
+            when (outcome) {
+                is AttemptOutcome.NotRun -> outcome.frame.reason in RETRYABLE_ELSEWHERE
+                AttemptOutcome.ConnectionFailed -> true
+                is AttemptOutcome.Lost -> progress.kind == WorkKind.REPEATABLE
+            }
+        val retries =
+            repeatable &&
+                progress.canResume &&
+                progress.attempts < limits.maximumAttempts &&
+                now < progress.deadline &&
+                permission.tryAcquire(now)
+        val runState = if (progress.mayHaveRun) RunState.UNKNOWN else RunState.NO
+        return if (retries) RetryDecision.RetryElsewhere else RetryDecision.Refuse(refusal(outcome, runState))
+    }
+
+    private fun decideKeyed(
+        progress: CallProgress,
+        outcome: AttemptOutcome,
+        now: MonotonicTime,
+    ): RetryDecision {
+        val nextRound =
+            when (outcome) {
+                is AttemptOutcome.NotRun -> nextRound(progress, outcome.frame)
+                AttemptOutcome.ConnectionFailed, is AttemptOutcome.Lost -> progress.round
+            }
+        val delay = ownerDelay(progress.attempts, (outcome as? AttemptOutcome.NotRun)?.frame?.retryAfter)
+        val retries =
+            nextRound != null &&
+                progress.canResume &&
+                progress.attempts < limits.maximumOwnerAttempts &&
+                now + delay < progress.deadline &&
+                permission.tryAcquire(now)
+        if (retries) return RetryDecision.RetryOwner(round = nextRound, delay = delay)
+        val proved = outcome is AttemptOutcome.NotRun && outcome.frame.keyNotRun
+        val refusal = refusal(outcome, if (proved) RunState.NO else RunState.UNKNOWN)
+        return RetryDecision.Refuse(
+            when (outcome) {
+                is AttemptOutcome.NotRun -> refusal
+                AttemptOutcome.ConnectionFailed -> refusal.copy(reason = RefusalReason.KEY_OWNER_UNREACHABLE)
+                is AttemptOutcome.Lost -> refusal.copy(reason = RefusalReason.KEY_OUTCOME_UNKNOWN)
+            },
+        )
+    }
+
+    /** Returns the round of the next attempt at the key's owner, or `null` when the caller has to decide. */
+    private fun nextRound(
+        progress: CallProgress,
+        frame: FrameContent.NotRun,
+    ): Int? =
+        when {
+            frame.reason == RefusalReason.KEY_IN_PROGRESS -> progress.round
+
+            // A higher round was refused to another sender, whose caller may have been told `run: no`. Using the new
+            // ticket without that caller's knowledge would run a request that was sent before that answer.
+            frame.reason !in RETRYABLE_AT_OWNER || frame.ticketRound != progress.round + 1 -> null
+
+            else -> frame.ticketRound
+        }
+
+    private fun ownerDelay(
+        attempts: Int,
+        retryAfter: Duration?,
+    ): Duration {
+        val doublings = (attempts - 1).coerceIn(0, MAXIMUM_DOUBLINGS)
+        val delay = minOf(limits.ownerDelay * (1 shl doublings), limits.maximumOwnerDelay)
+        return maxOf(delay, retryAfter ?: Duration.ZERO)
+    }
+
+    private fun refusal(
+        outcome: AttemptOutcome,
+        runState: RunState,
+    ): Refusal =
+        when (outcome) {
+            is AttemptOutcome.NotRun -> {
+                Refusal(
+                    reason = outcome.frame.reason,
+                    runState = runState,
+                    detail = outcome.frame.detail,
+                    retryAfter = outcome.frame.retryAfter,
+                )
+            }
+
+            AttemptOutcome.ConnectionFailed -> {
+                Refusal(
+                    reason = RefusalReason.NO_SERVER_AVAILABLE,
+                    runState = runState,
+                    detail = "The gateway could not connect to a server.",
+                )
+            }
+
+            is AttemptOutcome.Lost -> {
+                Refusal(reason = RefusalReason.SERVER_FAILED, runState = runState, detail = outcome.detail)
+            }
+        }
+
+    private companion object {
+        const val MAXIMUM_DOUBLINGS = 20
+        val RETRYABLE_AT_OWNER =
+            setOf(RefusalReason.OVERLOADED, RefusalReason.NOT_READY, RefusalReason.SERVER_FAILED)
+        val RETRYABLE_ELSEWHERE =
+            RETRYABLE_AT_OWNER + setOf(RefusalReason.NO_SERVER_AVAILABLE, RefusalReason.SHUTTING_DOWN)
+    }
+}
--- a/decision/src/main/kotlin/io/kumquattrail/decision/idempotency/KeyTable.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/idempotency/KeyTable.kt
@@ -30,14 +30,14 @@
  * after it. An instance is used by one thread at a time.
  *
  * @property incarnation incarnation of the agent; only its own issued keys run.
- * @property startedAt wall time read after the agent holds its published address, so that no other agent accepts keys
+ * @param startedAt wall time read after the agent holds its published address, so that no other agent accepts keys
  *   at that address later.
  * @property random source of the unguessable bits of issued keys.
  */
 class KeyTable(
     private val server: ServerName,
     private val incarnation: Incarnation,
-    private val startedAt: WallTime,
+    startedAt: WallTime,
     private val random: Random,
     private val limits: KeyTableLimits = KeyTableLimits(),
 ) {
@@ -47,9 +47,13 @@
     private val idleIssuedKeys = TreeSet(compareBy(IdempotencyKey.Issued::number, IdempotencyKey.Issued::random))
     private val idleCallerKeys = TreeSet(compareBy<IdempotencyKey.Caller> { it.high.toULong() }.thenBy { it.low })
 
+    // An earlier incarnation accepted keys up to one clock error after its own wall time, which may have been ahead of
+    // this one's by another.
+    private val earliestKeyTime = startedAt + limits.keyClockError * 2
+
     private var nextNumber = 0L
     private var lowestKnownNumber = 0L
-    private var lowestKnownTime = startedAt + limits.keyClockError * 2
+    private var lowestKnownTime = earliestKeyTime
 
     /** Number of keys with an entry. */
     val size: Int get() = entries.size
@@ -198,7 +202,7 @@
         wallTime: WallTime,
     ): UnknownCause? =
         when {
-            key.time <= startedAt + limits.keyClockError * 2 -> UnknownCause.KEY_TIME_BEFORE_START
+            key.time <= earliestKeyTime -> UnknownCause.KEY_TIME_BEFORE_START
             key.time <= lowestKnownTime -> UnknownCause.ENTRY_DROPPED
             key.time > wallTime + limits.keyClockError -> UnknownCause.KEY_TIME_IN_FUTURE
             else -> null
--- /dev/null
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/delivery/StreamAssemblerSpec.kt
@@ -0,0 +1,147 @@
+package io.kumquattrail.decision.delivery
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlin.random.Random
+
+private val STARTED = FrameContent.Started(status = 200)
+
+private fun tokens(
+    sequence: Int,
+    offset: Int,
+    count: Int = 1,
+    text: String = (offset until offset + count).joinToString("") { "<$it>" },
+) = FrameContent.Chunk(sequence.toLong(), offset, count, text.toByteArray())
+
+private fun bytes(
+    sequence: Int,
+    size: Int = 4,
+) = FrameContent.Chunk(sequence.toLong(), tokenOffset = null, tokenCount = 0, ByteArray(size) { '.'.code.toByte() })
+
+private class Caller {
+    var text = ""
+    var heads = 0
+    var complete = false
+    var failed = false
+
+    fun take(result: AssemblyResult) {
+        when (result) {
+            is AssemblyResult.Failed -> {
+                failed = true
+            }
+
+            is AssemblyResult.Progress -> {
+                result.output.forEach {
+                    when (it) {
+                        is Output.Head -> heads++
+                        is Output.Body -> text += it.data.decodeToString()
+                    }
+                }
+                complete = result.complete
+            }
+        }
+    }
+}
+
+private fun StreamAssembler.accept(content: FrameContent): AssemblyResult =
+    when (content) {
+        is FrameContent.Started -> accept(content)
+        is FrameContent.Chunk -> accept(content)
+        is FrameContent.Finished -> accept(content)
+        else -> error("not part of an answer")
+    }
+
+class StreamAssemblerSpec :
+    DescribeSpec({
+        describe("a token stream") {
+            it("is the same for every order and doubling of its frames, which would tear or repeat the text") {
+                val frames =
+                    listOf(STARTED) + (0..5).map { tokens(it, offset = it) } + FrameContent.Finished(chunks = 6)
+                repeat(2_000) { seed ->
+                    val random = Random(seed)
+                    val assembler = StreamAssembler()
+                    val caller = Caller()
+                    (frames + frames.shuffled(random).take(3)).shuffled(random).forEach {
+                        if (!caller.complete) caller.take(assembler.accept(it))
+                    }
+                    caller.text shouldBe "<0><1><2><3><4><5>"
+                    caller.heads shouldBe 1
+                    caller.complete shouldBe true
+                }
+            }
+
+            it("resumes after the written tokens wherever the first attempt breaks") {
+                for (received in 0..4) {
+                    val assembler = StreamAssembler()
+                    val caller = Caller()
+                    caller.take(assembler.accept(STARTED))
+                    (0 until received).forEach { caller.take(assembler.accept(tokens(it, offset = it))) }
+                    caller.take(assembler.accept(tokens(received + 1, offset = received + 1)))
+                    assembler.beginAttempt()
+                    assembler.writtenTokens shouldBe received
+                    caller.take(assembler.accept(STARTED))
+                    (received..5).forEach { caller.take(assembler.accept(tokens(it - received, offset = it))) }
+                    caller.take(assembler.accept(FrameContent.Finished(chunks = 6L - received)))
+                    caller.text shouldBe "<0><1><2><3><4><5>"
+                    caller.heads shouldBe 1
+                    caller.complete shouldBe true
+                }
+            }
+
+            it("skips tokens that an engine without resumption generates again") {
+                val assembler = StreamAssembler()
+                val caller = Caller()
+                listOf(STARTED, tokens(0, offset = 0, count = 2)).forEach { caller.take(assembler.accept(it)) }
+                assembler.beginAttempt()
+                val repeated = listOf(STARTED, tokens(0, 0, text = "head", count = 0), tokens(1, 0), tokens(2, 1))
+                (repeated + tokens(3, 2)).forEach { caller.take(assembler.accept(it)) }
+                caller.text shouldBe "<0><1><2>"
+            }
+
+            it("fails an attempt that leaves tokens out or cuts through written ones") {
+                listOf(tokens(0, offset = 3), tokens(0, offset = 1, count = 2)).forEach { wrong ->
+                    val assembler = StreamAssembler()
+                    listOf(STARTED, tokens(0, offset = 0, count = 2)).forEach { assembler.accept(it) }
+                    assembler.beginAttempt()
+                    assembler.accept(STARTED)
+                    assembler.accept(wrong).shouldBeInstanceOf<AssemblyResult.Failed>()
+                }
+            }
+
+            it("fails instead of keeping an unbounded number of chunks after a lost one") {
+                val assembler = StreamAssembler(AssemblyLimits(maximumPendingChunks = 4))
+                assembler.accept(STARTED)
+                (1..4).forEach { assembler.accept(tokens(it, it)).shouldBeInstanceOf<AssemblyResult.Progress>() }
+                assembler.accept(tokens(5, 5)).shouldBeInstanceOf<AssemblyResult.Failed>()
+            }
+
+            it("never resumes with another status, which the caller could not see") {
+                val assembler = StreamAssembler()
+                listOf(STARTED, tokens(0, 0)).forEach { assembler.accept(it) }
+                assembler.beginAttempt()
+                assembler.accept(FrameContent.Started(status = 500)).shouldBeInstanceOf<AssemblyResult.Failed>()
+            }
+        }
+
+        describe("a plain answer") {
+            it("is held until it is complete, so that a broken one can be fetched again without a torn body") {
+                val assembler = StreamAssembler()
+                val caller = Caller()
+                listOf(STARTED, bytes(0), bytes(1)).forEach { caller.take(assembler.accept(it)) }
+                assembler.canResume shouldBe true
+                assembler.beginAttempt()
+                listOf(bytes(1), STARTED, FrameContent.Finished(chunks = 2), bytes(0)).forEach {
+                    caller.take(assembler.accept(it))
+                }
+                caller.text shouldBe "........"
+                caller.complete shouldBe true
+            }
+
+            it("cannot be fetched again once a part of it had to be written") {
+                val assembler = StreamAssembler(AssemblyLimits(heldBytes = 6))
+                listOf(STARTED, bytes(0), bytes(1)).forEach { assembler.accept(it) }
+                assembler.canResume shouldBe false
+            }
+        }
+    })
