--- a/decision/src/main/kotlin/io/kumquattrail/decision/limit/FairQueue.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/limit/FairQueue.kt
@@ -17,8 +17,8 @@
  *
  * A higher priority is served before a lower one, except that lower priorities keep a reserved share of the served
  * tokens and of the places. Within a priority, organisations share by weight; an organisation that sends at several
- * priorities has a share in each. An item is rejected when it would wait beyond its deadline at the measured drain
- * rate. When all places are taken, the lowest priority loses first and, within it, the organisation that is furthest
+ * priorities has a share in each. An item is rejected when it would wait too long for its deadline or for the queue at
+ * the measured drain rate. When all places are taken, the lowest priority loses first and, within it, the organisation that is furthest
  * over its share.
  *
  * Memory is proportional to the organisations that wait. An offer takes time proportional to the organisations that
@@ -59,7 +59,11 @@
         val weight = maxOf(1, item.organisationWeight)
         val cost = WaitingItem.costOf(item)
         val wait = durationOf(level.tokensAhead(item.organisation, weight), level)
-        if (wait > item.deadline - now) return QueueDecision.Rejected(retryAfter(wait, item))
+        if (wait >
+            minOf(item.deadline - now, settings.longestWait)
+        ) {
+            return QueueDecision.Rejected(retryAfter(wait, item))
+        }
         val shed = mutableListOf<WorkItem>()
         if (waitingById.size >= settings.mostItems) {
             val victim =
@@ -195,7 +199,7 @@
         return if (upToLevel < reservedItems) higher.firstOrNull()?.mostOverShare() else null
     }
 
-    /** Sheds items of the organisation furthest over its share that [added] has pushed beyond their deadlines. */
+    /** Sheds items of the organisation furthest over its share that [added] has pushed beyond their time. */
     private fun shedLate(
         level: PriorityLevel,
         added: WaitingItem,
@@ -205,7 +209,7 @@
             while (true) {
                 val last = level.mostOverShare()?.takeIf { it !== added } ?: break
                 val wait = durationOf((level.tokens - last.cost).toDouble(), level)
-                if (wait <= last.item.deadline - now) break
+                if (now + wait <= minOf(last.item.deadline, last.enqueued + settings.longestWait)) break
                 discard(last)
                 add(last.item)
             }
--- a/decision/src/main/kotlin/io/kumquattrail/decision/limit/FairQueueSettings.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/limit/FairQueueSettings.kt
@@ -8,6 +8,8 @@
  * Holds the bounds of a [FairQueue].
  *
  * @property mostItems items that wait at once.
+ * @property longestWait estimated waiting time above which an item is rejected even if its caller would wait longer; a
+ *   longer queue delays every first token and serves no more.
  * @property reservedShare share of the served tokens, and of [mostItems], that lower priorities keep while higher ones
  *   are in excess; without it a busy high priority starves the organisations below it.
  * @property initialTokensPerSecond drain rate that is assumed until the queue has measured its own.
@@ -17,6 +19,7 @@
  */
 data class FairQueueSettings(
     val mostItems: Int = 256,
+    val longestWait: Duration = 1_500.milliseconds,
     val reservedShare: Double = 0.1,
     val initialTokensPerSecond: Double = 4_000.0,
     val rateWindow: Duration = 5.seconds,
