--- /dev/null
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/change/ProposalNumber.kt
@@ -0,0 +1,28 @@
+package io.kumquattrail.decision.expert.change
+
+import io.kumquattrail.decision.identity.Incarnation
+
+/**
+ * Orders the proposals of all coordinators of a group.
+ *
+ * @property counter raised above every counter that the coordinator has seen.
+ * @property incarnation incarnation of the coordinator, which makes numbers of two coordinators differ.
+ */
+data class ProposalNumber(
+    val counter: Long,
+    val incarnation: Incarnation,
+) : Comparable<ProposalNumber> {
+    override fun compareTo(other: ProposalNumber): Int =
+        compareValuesBy(this, other, ProposalNumber::counter, ProposalNumber::incarnation)
+
+    override fun toString(): String = "$counter-$incarnation"
+
+    companion object {
+        /** Parses the form that [toString] prints; returns `null` for any other text. */
+        fun parse(text: String): ProposalNumber? {
+            val counter = text.substringBefore('-').toLongOrNull() ?: return null
+            val incarnation = Incarnation.parse(text.substringAfter('-', "")) ?: return null
+            return ProposalNumber(counter, incarnation)
+        }
+    }
+}
