--- a/agent/src/main/kotlin/io/kumquattrail/agent/backend/BackendClient.kt
+++ b/agent/src/main/kotlin/io/kumquattrail/agent/backend/BackendClient.kt
@@ -6,7 +6,6 @@
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClientAgent
 import io.vertx.core.http.HttpClientOptions
-import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpClientResponse
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
@@ -52,8 +51,9 @@
                 }
             val events = Channel<BackendEvent>(Channel.UNLIMITED)
             call.headers.forEach { (name, value) -> request.putHeader(name, value) }
+            request.exceptionHandler { events.trySend(BackendEvent.Lost(it.toString())) }
             val response = request.send(Buffer.buffer(call.body))
-            listen(request, response, events)
+            listen(response, events)
             var complete = false
             try {
                 for (event in events) {
@@ -90,11 +90,9 @@
     }
 
     private fun listen(
-        request: HttpClientRequest,
         response: Future<HttpClientResponse>,
         events: Channel<BackendEvent>,
     ) {
-        request.exceptionHandler { events.trySend(BackendEvent.Lost(it.toString())) }
         response.onFailure { events.trySend(BackendEvent.Lost(it.toString())) }
         response.onSuccess { answer ->
             answer.pause()
--- /dev/null
+++ b/agent/src/main/kotlin/io/kumquattrail/agent/work/WorkExecutor.kt
@@ -0,0 +1,331 @@
+package io.kumquattrail.agent.work
+
+import io.kumquattrail.agent.backend.BackendCall
+import io.kumquattrail.agent.backend.BackendClient
+import io.kumquattrail.agent.backend.BackendEvent
+import io.kumquattrail.agent.backend.EventStreamSplitter
+import io.kumquattrail.decision.admission.AdmissionEvent
+import io.kumquattrail.decision.admission.SendDecision
+import io.kumquattrail.decision.admission.TokenCost
+import io.kumquattrail.decision.admission.WorkId
+import io.kumquattrail.decision.admission.WorkItem
+import io.kumquattrail.decision.admission.WorkOutcome
+import io.kumquattrail.decision.idempotency.BeginResult
+import io.kumquattrail.decision.idempotency.StoredAnswer
+import io.kumquattrail.decision.idempotency.refusal
+import io.kumquattrail.decision.identity.Incarnation
+import io.kumquattrail.decision.identity.OrganisationName
+import io.kumquattrail.decision.identity.ServiceName
+import io.kumquattrail.decision.refusal.RefusalReason
+import io.kumquattrail.node.clock.Clock
+import io.kumquattrail.protocol.v1.ExecuteFrame
+import io.kumquattrail.protocol.v1.ExecuteRequest
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.channels.SendChannel
+import kotlinx.coroutines.channels.consumeEach
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.launch
+import java.io.ByteArrayOutputStream
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Runs attempts at the backend server: key table, admission, sending, and the frames of the answer.
+ *
+ * @property scope outlives single calls, so that unrepeatable work ends and its answer is kept after its gateway is gone.
+ */
+class WorkExecutor(
+    private val incarnation: Incarnation,
+    private val admissions: AdmissionGate,
+    private val keys: KeyGate,
+    private val backend: BackendClient,
+    private val clock: Clock,
+    private val scope: CoroutineScope,
+) {
+    private val fingerprintsInFlight = ConcurrentHashMap<WorkId, String>()
+
+    /** Runs one attempt; cancelling the collection cancels repeatable work only. */
+    fun execute(request: ExecuteRequest): Flow<ExecuteFrame> =
+        flow {
+            val frames = Channel<ExecuteFrame>(FRAME_BUFFER)
+            val job = launchAttempt(request, frames)
+            try {
+                frames.consumeEach { emit(it) }
+            } finally {
+                if (request.repeatable) job.cancel()
+            }
+        }
+
+    private fun launchAttempt(
+        request: ExecuteRequest,
+        frames: Channel<ExecuteFrame>,
+    ): Job =
+        scope.launch {
+            val attempt = Attempt(request, FrameFactory(request, incarnation, admissions::loadReport), frames)
+            try {
+                if (request.idempotencyKey.isEmpty()) attempt.admitAndRun(round = null) else attempt.beginKey()
+            } finally {
+                frames.close()
+            }
+        }
+
+    private inner class Attempt(
+        private val request: ExecuteRequest,
+        private val factory: FrameFactory,
+        private val frames: SendChannel<ExecuteFrame>,
+    ) {
+        private val id = WorkId(request.requestId, request.attempt)
+        private val answer = AnswerBuffer()
+        private val splitter = EventStreamSplitter()
+        private var status = 0
+        private var headers = emptyMap<String, String>()
+        private var tokens = request.resumeAfterTokens
+
+        suspend fun beginKey() {
+            val service = ServiceName(request.service)
+            when (val begun = keys.begin(request.idempotencyKey, service, request.keyRound, request.fingerprint)) {
+                null -> send(factory.notRun(RefusalReason.KEY_NOT_SUPPORTED))
+                is BeginResult.Run -> admitAndRun(begun.round)
+                is BeginResult.Replay -> replay(begun.answer)
+                is BeginResult.Voided -> refuse(begun, begun.ticket.round)
+                else -> refuse(begun, ticketRound = null)
+            }
+        }
+
+        suspend fun admitAndRun(round: Int?) {
+            var sent = false
+            try {
+                val expected = Incarnation.parse(request.expectedIncarnation)
+                when (val admission = admissions.admit(workItem(), expected)) {
+                    is Admission.HandedBack -> {
+                        sendNotRun(round, admission.action.reason, admission.action.retryAfter?.inWholeMilliseconds)
+                    }
+
+                    Admission.Duplicate -> {
+                        sent = true
+                        send(factory.broken("the attempt was received twice"))
+                    }
+
+                    Admission.Granted -> {
+                        when (val decision = admissions.recheck(id)) {
+                            is SendDecision.Send -> {
+                                sent = true
+                                run(round)
+                            }
+
+                            is SendDecision.Denied -> {
+                                sendNotRun(round, RefusalReason.OVERLOADED, null)
+                            }
+
+                            SendDecision.NotGranted -> {
+                                sendNotRun(round, RefusalReason.OVERLOADED, null)
+                            }
+                        }
+                    }
+                }
+            } finally {
+                if (!sent && round != null) keys.failedBeforeSending(request.idempotencyKey, round)
+            }
+        }
+
+        private suspend fun refuse(
+            result: BeginResult,
+            ticketRound: Int?,
+        ) {
+            val refusal = result.refusal() ?: return
+            send(factory.notRun(refusal.reason, refusal.detail, refusal.retryAfter, ticketRound))
+        }
+
+        private suspend fun sendNotRun(
+            round: Int?,
+            reason: RefusalReason,
+            retryAfterMilliseconds: Long?,
+        ) {
+            val ticket = round?.let { keys.failedBeforeSending(request.idempotencyKey, it) }
+            send(factory.notRun(reason, retryAfter = retryAfterMilliseconds?.milliseconds, ticketRound = ticket?.round))
+        }
+
+        private suspend fun run(round: Int?) {
+            fingerprintsInFlight[id] = request.fingerprint
+            var outcome = WorkOutcome.CANCELLED
+            var notSent = false
+            try {
+                backend.send(backendCall()).collect { event ->
+                    when (event) {
+                        is BackendEvent.Head -> {
+                            begin(event)
+                        }
+
+                        is BackendEvent.Body -> {
+                            forward(event.bytes)
+                        }
+
+                        BackendEvent.End -> {
+                            outcome =
+                                if (isServerError(status)) WorkOutcome.FAILED else WorkOutcome.COMPLETED
+                        }
+
+                        is BackendEvent.NotSent -> {
+                            notSent = true
+                        }
+
+                        is BackendEvent.Lost -> {
+                            outcome = WorkOutcome.BROKEN
+                        }
+                    }
+                }
+            } finally {
+                finish(round, outcome, notSent)
+            }
+        }
+
+        private suspend fun begin(head: BackendEvent.Head) {
+            status = head.status
+            headers = head.headers.filterKeys { it !in HOP_BY_HOP_HEADERS }
+            if (!request.stream) admissions.report(AdmissionEvent.FirstToken(id))
+            send(factory.started(status, headers))
+        }
+
+        private suspend fun forward(bytes: ByteArray) {
+            answer.add(bytes)
+            if (!request.stream) return send(factory.chunk(bytes))
+            splitter.add(bytes).forEach { event ->
+                if (isToken(event)) {
+                    if (tokens == request.resumeAfterTokens) admissions.report(AdmissionEvent.FirstToken(id))
+                    send(factory.chunk(event, tokenOffset = tokens, tokenCount = 1))
+                    tokens += 1
+                } else {
+                    send(factory.chunk(event))
+                }
+            }
+        }
+
+        private suspend fun finish(
+            round: Int?,
+            outcome: WorkOutcome,
+            notSent: Boolean,
+        ) {
+            val crashed = outcome == WorkOutcome.BROKEN
+            val suspects = if (crashed) fingerprintsInFlight.values.toList() else emptyList()
+            fingerprintsInFlight.remove(id)
+            if (request.stream) admissions.report(AdmissionEvent.OutputProgress(id, tokens - request.resumeAfterTokens))
+            admissions.report(AdmissionEvent.WorkEnded(id, if (notSent) WorkOutcome.BROKEN else outcome))
+            val ticketRound = round?.let { settleKey(it, outcome, notSent) }
+            val frame =
+                when {
+                    notSent -> {
+                        factory.notRun(
+                            RefusalReason.NO_SERVER_AVAILABLE,
+                            "the backend server refused the connection",
+                            ticketRound = ticketRound,
+                        )
+                    }
+
+                    crashed -> {
+                        factory.broken("the connection to the backend server broke", true, suspects)
+                    }
+
+                    outcome == WorkOutcome.CANCELLED -> {
+                        factory.broken("the attempt was cancelled")
+                    }
+
+                    else -> {
+                        factory.finished()
+                    }
+                }
+            frames.trySend(frame).takeIf { it.isSuccess } ?: send(frame)
+        }
+
+        private fun settleKey(
+            round: Int,
+            outcome: WorkOutcome,
+            notSent: Boolean,
+        ): Int? {
+            val key = request.idempotencyKey
+            when {
+                notSent -> {
+                    return keys.failedBeforeSending(key, round)?.round
+                }
+
+                outcome == WorkOutcome.COMPLETED || outcome == WorkOutcome.FAILED -> {
+                    keys.complete(key, round, StoredAnswer(status, headers, answer.bytes()))
+                }
+
+                else -> {
+                    keys.failedAfterSending(key, round)
+                }
+            }
+            return null
+        }
+
+        private suspend fun replay(stored: StoredAnswer) {
+            send(factory.started(stored.status, stored.headers))
+            send(factory.chunk(stored.body))
+            send(factory.finished())
+        }
+
+        // A gateway that went away has closed the channel; unrepeatable work goes on without it.
+        private suspend fun send(frame: ExecuteFrame) {
+            try {
+                frames.send(frame)
+            } catch (_: kotlinx.coroutines.channels.ClosedSendChannelException) {
+                return
+            } catch (exception: kotlinx.coroutines.CancellationException) {
+                if (request.repeatable) throw exception
+            }
+        }
+
+        private fun workItem(): WorkItem =
+            WorkItem(
+                id = id,
+                organisation = OrganisationName(request.organisation),
+                cost = TokenCost(request.promptTokens, request.outputTokens),
+                deadline = clock.monotonic() + request.remainingMilliseconds.milliseconds,
+                organisationWeight = request.organisationWeight.coerceAtLeast(1),
+                priority = request.priority,
+                fingerprint = request.fingerprint,
+                runAlone = request.runAlone,
+            )
+
+        private fun backendCall(): BackendCall {
+            val resume =
+                if (request.resumeAfterTokens > 0) {
+                    mapOf(RESUME_HEADER to request.resumeAfterTokens.toString())
+                } else {
+                    emptyMap()
+                }
+            return BackendCall(
+                method = request.method,
+                path = request.path,
+                headers = request.headersMap + resume,
+                body = request.body.toByteArray(),
+                repeatable = request.repeatable,
+            )
+        }
+    }
+
+    private class AnswerBuffer {
+        private val bytes = ByteArrayOutputStream()
+
+        fun add(part: ByteArray) = bytes.write(part)
+
+        fun bytes(): ByteArray = bytes.toByteArray()
+    }
+
+    private companion object {
+        const val FRAME_BUFFER = 64
+        const val FIRST_SERVER_ERROR = 500
+        const val RESUME_HEADER = "X-Resume-After-Tokens"
+        val HOP_BY_HOP_HEADERS =
+            setOf("connection", "keep-alive", "transfer-encoding", "content-length", "upgrade", "te")
+        val END_OF_STREAM = "data: [DONE]".toByteArray()
+
+        fun isServerError(status: Int): Boolean = status >= FIRST_SERVER_ERROR
+
+        fun isToken(event: ByteArray): Boolean =
+            !(event.size >= END_OF_STREAM.size && END_OF_STREAM.indices.all { event[it] == END_OF_STREAM[it] })
+    }
+}
--- a/command/src/main/kotlin/P.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package io.kumquattrail.command
-
-internal const val PLACEHOLDER: Int = 1
--- /dev/null
+++ b/demo/src/main/kotlin/io/kumquattrail/demo/DemoLoad.kt
@@ -0,0 +1,160 @@
+package io.kumquattrail.demo
+
+import io.kumquattrail.standin.engine.ModelEngine
+import io.vertx.core.Vertx
+import io.vertx.core.http.PoolOptions
+import io.vertx.core.json.JsonObject
+import io.vertx.ext.web.client.HttpResponse
+import io.vertx.ext.web.client.WebClient
+import io.vertx.ext.web.client.WebClientOptions
+import io.vertx.ext.web.codec.BodyCodec
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import java.io.IOException
+import java.util.UUID
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
+
+/** Sends a seeded mix of drafts, streams and postings to the gateways and checks every answer. */
+class DemoLoad(
+    vertx: Vertx,
+    private val ports: List<Int>,
+    private val counters: DemoCounters,
+    seed: Long,
+) {
+    private val random = Random(seed)
+    private val client =
+        WebClient.create(vertx, WebClientOptions(), PoolOptions().setHttp1MaxSize(LARGEST_POOL))
+
+    /** Sends requests for [time], then returns; answers may still be on their way in [scope]. */
+    suspend fun run(
+        scope: CoroutineScope,
+        time: Duration,
+    ) {
+        val start = TimeSource.Monotonic.markNow()
+        var index = 0
+        while (start.elapsedNow() < time) {
+            val request = index++
+            scope.launch { send(request) }
+            delay(random.nextLong(SHORTEST_PAUSE_MILLISECONDS, LONGEST_PAUSE_MILLISECONDS).milliseconds)
+        }
+    }
+
+    private suspend fun send(index: Int) {
+        counters.requests.incrementAndGet()
+        when (index % MIX) {
+            0 -> post(index)
+            1 -> draft(index, stream = true)
+            else -> draft(index, stream = false)
+        }
+    }
+
+    private suspend fun draft(
+        index: Int,
+        stream: Boolean,
+    ) {
+        val prompt = "Draft number $index"
+        val body =
+            JsonObject()
+                .put("model", LocalFleet.DRAFTING)
+                .put("prompt", prompt)
+                .put("max_tokens", TOKENS)
+                .put("stream", stream)
+        val response = request("/v1/completions", body, key = null, port = ports[index % ports.size]) ?: return torn()
+        if (response.statusCode() != HTTP_OK) return refused(response)
+        val text = if (stream) streamedText(response.bodyAsString()) else wholeText(response.bodyAsString())
+        if (text == ModelEngine.expectedText(prompt, TOKENS)) counters.whole.incrementAndGet() else torn()
+    }
+
+    // A caller that got no answer sends the posting again, through the other gateway and with the same key.
+    private suspend fun post(index: Int) {
+        val reference = "posting-$index"
+        val key = versionSevenKey()
+        val body = JsonObject().put("reference", reference).put("amount", index)
+        repeat(POSTING_SENDS) { sending ->
+            val port = ports[(index + sending) % ports.size]
+            val response = request("/services/${LocalFleet.LEDGER}/postings", body, key, port)
+            when (response?.statusCode()) {
+                HTTP_CREATED -> {
+                    counters.whole.incrementAndGet()
+                    return
+                }
+
+                null -> {
+                    Unit
+                }
+
+                else -> {
+                    if (sending == POSTING_SENDS - 1) return refused(response)
+                }
+            }
+        }
+        torn()
+    }
+
+    private suspend fun request(
+        path: String,
+        body: JsonObject,
+        key: String?,
+        port: Int,
+    ): HttpResponse<io.vertx.core.buffer.Buffer>? {
+        val organisation = LocalFleet.ORGANISATIONS.keys.random(random)
+        val request =
+            client
+                .post(port, "127.0.0.1", path)
+                .putHeader("X-Organisation", organisation)
+                .putHeader("Request-Timeout", "10")
+                .`as`(BodyCodec.buffer())
+        key?.let { request.putHeader("Idempotency-Key", it) }
+        return try {
+            request.sendJsonObject(body).coAwait()
+        } catch (_: IOException) {
+            null
+        } catch (_: io.vertx.core.VertxException) {
+            null
+        }
+    }
+
+    private fun wholeText(body: String): String =
+        JsonObject(body).getJsonArray("choices").getJsonObject(0).getString("text")
+
+    private fun streamedText(body: String): String =
+        body
+            .split("\n\n")
+            .filter { it.startsWith("data: {") }
+            .joinToString("") { wholeText(it.removePrefix("data: ")) }
+
+    private fun refused(response: HttpResponse<*>) {
+        val run = runCatching { JsonObject(response.bodyAsString()).getString("run") }.getOrNull()
+        if (run == "no") counters.refusedNotRun.incrementAndGet() else counters.refusedUnknown.incrementAndGet()
+    }
+
+    private fun torn() {
+        counters.torn.incrementAndGet()
+    }
+
+    private fun versionSevenKey(): String {
+        val time = System.currentTimeMillis()
+        val high = (time shl TIME_SHIFT) or VERSION_SEVEN or random.nextLong(RANDOM_BITS)
+        val low = (random.nextLong() ushr 2) or Long.MIN_VALUE
+        return UUID(high, low).toString()
+    }
+
+    private companion object {
+        const val LARGEST_POOL = 256
+        const val MIX = 4
+        const val TOKENS = 24
+        const val POSTING_SENDS = 3
+        const val HTTP_OK = 200
+        const val HTTP_CREATED = 201
+        const val SHORTEST_PAUSE_MILLISECONDS = 5L
+        const val LONGEST_PAUSE_MILLISECONDS = 25L
+        const val TIME_SHIFT = 16
+        const val VERSION_SEVEN = 0x7000L
+        const val RANDOM_BITS = 0x1000L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/kumquattrail/gateway/call/AttemptSender.kt
@@ -0,0 +1,197 @@
+package io.kumquattrail.gateway.call
+
+import com.google.protobuf.UnsafeByteOperations
+import io.grpc.CallOptions
+import io.grpc.StatusException
+import io.kumquattrail.decision.delivery.CallAction
+import io.kumquattrail.decision.delivery.CallEvent
+import io.kumquattrail.decision.delivery.FrameContent
+import io.kumquattrail.decision.delivery.WorkKind
+import io.kumquattrail.decision.identity.ServerName
+import io.kumquattrail.decision.record.BackendServerRecord
+import io.kumquattrail.decision.time.MonotonicTime
+import io.kumquattrail.gateway.request.ClassifiedRequest
+import io.kumquattrail.node.clock.Clock
+import io.kumquattrail.node.configuration.ConfigurationView
+import io.kumquattrail.node.metrics.NodeMetrics
+import io.kumquattrail.node.rpc.ChannelPool
+import io.kumquattrail.protocol.toFrame
+import io.kumquattrail.protocol.toLoadReport
+import io.kumquattrail.protocol.v1.ExecuteRequest
+import io.kumquattrail.protocol.v1.ReleaseKeyRequest
+import io.kumquattrail.protocol.v1.WorkServiceGrpcKt
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.delay
+import java.util.concurrent.TimeUnit
+
+/** Sends the attempts of calls to agents and reports what comes back as events. */
+class AttemptSender(
+    private val gateway: String,
+    private val configuration: ConfigurationView,
+    private val selection: ServerSelection,
+    private val channels: ChannelPool,
+    private val clock: Clock,
+    private val metrics: NodeMetrics,
+) {
+    /** Sends [attempt] of [request] and reports everything that follows to [report], until the attempt has ended. */
+    suspend fun send(
+        requestId: String,
+        request: ClassifiedRequest,
+        attempt: CallAction.SendAttempt,
+        deadline: MonotonicTime,
+        report: suspend (CallEvent) -> Unit,
+    ) {
+        delay(attempt.delay)
+        val server = server(request, attempt)
+        if (server == null) {
+            report(CallEvent.NoServer(attempt.attempt))
+            return
+        }
+        report(CallEvent.ServerChosen(attempt.attempt, server.name))
+        selection.started(server.name, request)
+        var end = AttemptEnd.ABANDONED
+        try {
+            end = exchange(requestId, request, attempt, server, deadline, report)
+        } finally {
+            selection.ended(server.name, request, end)
+            metrics.attempts.labelValues(request.identified.request.service.value, end.name.lowercase()).inc()
+        }
+    }
+
+    /** Asks the owner of the request's key to void it; returns the event that tells the outcome. */
+    suspend fun releaseKey(
+        request: ClassifiedRequest,
+        release: CallAction.ReleaseKey,
+    ): CallEvent {
+        val keyed = request.keyed ?: return CallEvent.ReleaseFailed
+        val owner =
+            configuration.current.value.records
+                .server(release.owner) ?: return CallEvent.ReleaseFailed
+        val message =
+            ReleaseKeyRequest
+                .newBuilder()
+                .setIdempotencyKey(keyed.key.toString())
+                .setKeyRound(release.round)
+                .setService(request.identified.request.service.value)
+                .setFingerprint(request.fingerprint)
+                .build()
+        return try {
+            val answer = stub(owner).withDeadlineAfter(RELEASE_TIMEOUT_SECONDS, TimeUnit.SECONDS).releaseKey(message)
+            CallEvent.ReleaseAnswered(answer.ticketRound.takeIf { answer.notRun })
+        } catch (_: StatusException) {
+            CallEvent.ReleaseFailed
+        }
+    }
+
+    // A key is tied to its owner, so the owner is asked even when it is out of service: its agent alone can say that the
+    // request has not run.
+    private fun server(
+        request: ClassifiedRequest,
+        attempt: CallAction.SendAttempt,
+    ): BackendServerRecord? {
+        val owner = attempt.owner ?: return selection.choose(request, attempt.excluded)
+        return configuration.current.value.records
+            .server(owner)
+    }
+
+    private suspend fun exchange(
+        requestId: String,
+        request: ClassifiedRequest,
+        attempt: CallAction.SendAttempt,
+        server: BackendServerRecord,
+        deadline: MonotonicTime,
+        report: suspend (CallEvent) -> Unit,
+    ): AttemptEnd {
+        val tracer = SendTracer()
+        var last: FrameContent? = null
+        var firstToken = false
+        try {
+            val message = message(requestId, request, attempt, deadline)
+            val options = CallOptions.DEFAULT.withStreamTracerFactory(tracer)
+            stub(server, options).execute(message).collect { received ->
+                if (received.hasLoad()) observe(server.name, received.load)
+                val frame = received.toFrame() ?: return@collect
+                last = frame.content
+                if (!firstToken && frame.content is FrameContent.Chunk) {
+                    firstToken = true
+                    selection.firstToken(server.name, request)
+                }
+                report(CallEvent.FrameArrived(frame))
+            }
+        } catch (exception: StatusException) {
+            val event =
+                if (tracer.sent) {
+                    CallEvent.ConnectionLost(
+                        attempt.attempt,
+                    )
+                } else {
+                    CallEvent.ConnectionFailed(attempt.attempt)
+                }
+            report(event)
+            return if (tracer.sent) AttemptEnd.FAILED else AttemptEnd.UNREACHABLE
+        }
+        report(CallEvent.ConnectionLost(attempt.attempt))
+        return end(last)
+    }
+
+    private fun end(last: FrameContent?): AttemptEnd =
+        when (last) {
+            is FrameContent.Finished -> AttemptEnd.COMPLETED
+            is FrameContent.NotRun -> AttemptEnd.NOT_RUN
+            is FrameContent.Broken, is FrameContent.Chunk, is FrameContent.Started, null -> AttemptEnd.FAILED
+        }
+
+    private fun observe(
+        server: ServerName,
+        message: io.kumquattrail.protocol.v1.LoadReport,
+    ) {
+        message.toLoadReport()?.let { selection.observed(server, it) }
+    }
+
+    private fun stub(
+        server: BackendServerRecord,
+        options: CallOptions = CallOptions.DEFAULT,
+    ) = WorkServiceGrpcKt.WorkServiceCoroutineStub(channels.channel(server.address), options)
+
+    private fun message(
+        requestId: String,
+        request: ClassifiedRequest,
+        attempt: CallAction.SendAttempt,
+        deadline: MonotonicTime,
+    ): ExecuteRequest {
+        val parsed = request.identified.request
+        val organisation = request.identified.organisation
+        return ExecuteRequest
+            .newBuilder()
+            .setRequestId(requestId)
+            .setAttempt(attempt.attempt)
+            .setOrganisation(organisation.name.value)
+            .setOrganisationWeight(organisation.weight)
+            .setPriority(organisation.priority)
+            .setService(parsed.service.value)
+            .setPromptTokens(parsed.cost.promptTokens)
+            .setOutputTokens(parsed.cost.outputTokens)
+            .setRemainingMilliseconds((deadline - clock.monotonic()).inWholeMilliseconds.coerceAtLeast(0))
+            .setRevision(configuration.current.value.records.revision)
+            .setIdempotencyKey(
+                request.keyed
+                    ?.key
+                    ?.toString()
+                    .orEmpty(),
+            ).setKeyRound(attempt.round)
+            .setRepeatable(request.kind == WorkKind.REPEATABLE)
+            .setMethod(parsed.method)
+            .setPath(parsed.path)
+            .putAllHeaders(parsed.headers)
+            .setBody(UnsafeByteOperations.unsafeWrap(parsed.body))
+            .setStream(parsed.stream)
+            .setFingerprint(request.fingerprint)
+            .setResumeAfterTokens(attempt.resumeAfterTokens)
+            .setGateway(gateway)
+            .build()
+    }
+
+    private companion object {
+        const val RELEASE_TIMEOUT_SECONDS = 2L
+    }
+}
--- a/node/src/main/kotlin/io/kumquattrail/node/settings/TomlTable.kt
+++ b/node/src/main/kotlin/io/kumquattrail/node/settings/TomlTable.kt
@@ -18,6 +18,9 @@
 ) {
     fun reader(): SettingsReader = SettingsReader(root, lines)
 
+    /** Tells whether the file has the table [name]. */
+    fun hasSection(name: String): Boolean = root.path(name).isObject
+
     companion object {
         private val MAPPER = TomlMapper()
         private val SECTION = Regex("""\s*\[\s*([\w.-]+)\s*]\s*(#.*)?""")
--- a/standin/src/main/kotlin/io/kumquattrail/standin/engine/ModelEngine.kt
+++ b/standin/src/main/kotlin/io/kumquattrail/standin/engine/ModelEngine.kt
@@ -44,6 +44,7 @@
     private val completed = AtomicInteger()
     private val crashes = AtomicInteger()
     private val overloads = AtomicInteger()
+    private val received = AtomicInteger()
     private val epoch = AtomicLong()
 
     @Volatile
@@ -55,6 +56,9 @@
     /** Number of crashes because a cold engine got more than it bears. */
     val coldOverloads: Int get() = overloads.get()
 
+    /** Number of requests received so far. */
+    val receivedCount: Int get() = received.get()
+
     /** Requests that run now. */
     val runningCount: Int get() = running.get()
 
@@ -86,6 +90,7 @@
         context: RoutingContext,
         chat: Boolean,
     ) {
+        received.incrementAndGet()
         val body = context.body().asJsonObject()
         val prompt = if (chat) body.getJsonArray("messages").encode() else body.getString("prompt")
         if (CRASH_MARKER in prompt) {
