--- a/agent/src/main/kotlin/io/kumquattrail/agent/work/KeyGate.kt
+++ b/agent/src/main/kotlin/io/kumquattrail/agent/work/KeyGate.kt
@@ -71,7 +71,7 @@
     ): KeyAttempt? {
         val parsed = parse(key) ?: return null
         val view = configuration.current.value
-        val owner = KeyOwnership(view.records, view.confirmed).owner(parsed, service)
+        val owner = KeyOwnership(view.records).owner(parsed, service)
         return KeyAttempt(parsed, round, fingerprint, owner)
     }
 
--- a/demo/src/main/kotlin/io/kumquattrail/demo/Demo.kt
+++ b/demo/src/main/kotlin/io/kumquattrail/demo/Demo.kt
@@ -62,6 +62,7 @@
             torn = counters.torn.get(),
             doubleRuns = fleet.postings.doubleRuns,
             zoneNewWorkAfterMilliseconds = lastNewWork,
+            refusals = counters.refusals.mapValues { it.value.get() },
         )
     }
 
--- a/demo/src/main/kotlin/io/kumquattrail/demo/DemoLoad.kt
+++ b/demo/src/main/kotlin/io/kumquattrail/demo/DemoLoad.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.launch
 import java.io.IOException
 import java.util.UUID
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -129,8 +130,10 @@
             .joinToString("") { wholeText(it.removePrefix("data: ")) }
 
     private fun refused(response: HttpResponse<*>) {
-        val run = runCatching { JsonObject(response.bodyAsString()).getString("run") }.getOrNull()
-        if (run == "no") counters.refusedNotRun.incrementAndGet() else counters.refusedUnknown.incrementAndGet()
+        val problem = runCatching { JsonObject(response.bodyAsString()) }.getOrElse { JsonObject() }
+        val type = problem.getString("type", "status-${response.statusCode()}").substringAfterLast(':')
+        counters.refusals.computeIfAbsent(type) { AtomicInteger() }.incrementAndGet()
+        if (problem.getString("run") == "no") counters.refusedNotRun.incrementAndGet() else counters.refusedUnknown.incrementAndGet()
     }
 
     private fun torn() {
--- a/demo/src/main/kotlin/io/kumquattrail/demo/DemoReport.kt
+++ b/demo/src/main/kotlin/io/kumquattrail/demo/DemoReport.kt
@@ -1,5 +1,6 @@
 package io.kumquattrail.demo
 
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 
 /** Counts the outcomes of a demo's requests. */
@@ -9,11 +10,15 @@
     val refusedNotRun = AtomicInteger()
     val refusedUnknown = AtomicInteger()
     val torn = AtomicInteger()
+
+    /** Refusals by the last segment of their type. */
+    val refusals = ConcurrentHashMap<String, AtomicInteger>()
 }
 
 /**
  * Holds the figures of a demo run.
  *
+ * @property refusals refusals by the last segment of their type.
  * @property torn answers that differ from what the engine generates for the prompt, or that broke off.
  * @property doubleRuns postings that the ledger ran more than once.
  * @property zoneNewWorkAfterMilliseconds time from publication to the last new work in the zone, or 0 for none.
@@ -26,6 +31,7 @@
     val torn: Int,
     val doubleRuns: Int,
     val zoneNewWorkAfterMilliseconds: Long,
+    val refusals: Map<String, Int> = emptyMap(),
 ) {
     /** Returns the members of the demo's last line of JSON. */
     fun toMap(): Map<String, Any?> =
@@ -37,5 +43,6 @@
             "torn" to torn,
             "double_runs" to doubleRuns,
             "zone_new_work_after_ms" to zoneNewWorkAfterMilliseconds,
+            "refusals" to refusals,
         )
 }
--- a/gateway/src/main/kotlin/io/kumquattrail/gateway/request/CallClassifier.kt
+++ b/gateway/src/main/kotlin/io/kumquattrail/gateway/request/CallClassifier.kt
@@ -37,7 +37,7 @@
     ): Result<ClassifiedRequest, Refusal> {
         val key = IdempotencyKey.parse(text).getOrElse { return Err(it.refusal()) }
         val snapshot = configuration()
-        val owner = KeyOwnership(snapshot.records, snapshot.confirmed).owner(key, input.request.service).server
+        val owner = KeyOwnership(snapshot.records).owner(key, input.request.service).server
         val ticket =
             input.request.ticket?.let {
                 Ticket.parse(it, key).getOrElse { return Err(malformed("The ticket does not fit the key.")) }
