--- /dev/null
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/suspect/SuspectTrackerSpec.kt
@@ -0,0 +1,89 @@
+package io.kumquattrail.decision.suspect
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import io.kumquattrail.decision.identity.Incarnation
+import io.kumquattrail.decision.time.MonotonicTime
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+private fun crash(
+    agent: Long,
+    vararg fingerprints: String,
+    alone: Boolean = false,
+) = Crash(Incarnation(0, agent), fingerprints.toSet(), alone)
+
+class SuspectTrackerSpec :
+    DescribeSpec({
+        val start = MonotonicTime.ZERO
+
+        describe("a request in flight at a crash") {
+            it("runs alone, and is blocked only by a crash during that run") {
+                val tracker = SuspectTracker()
+                tracker.crashed(crash(1, "killer", "innocent"), start)
+                tracker.treatment("innocent", start) shouldBe Treatment.Alone
+                tracker.crashed(crash(2, "killer", alone = true), start)
+                tracker.treatment("killer", start) shouldBe Treatment.Blocked(10.minutes)
+                tracker.treatment("innocent", start) shouldBe Treatment.Alone
+            }
+
+            it("is cleared by completing, which older reports of other processes must not undo") {
+                val tracker = SuspectTracker()
+                tracker.crashed(crash(1, "killer", "innocent"), start)
+                tracker.completed("innocent", start + 1.seconds)
+                val report = SuspectReport("innocent", crashes = 1, blocked = false, age = 2.seconds)
+                tracker.merge(listOf(report), start + 2.seconds)
+                tracker.treatment("innocent", start + 2.seconds) shouldBe Treatment.Normal
+                tracker.merge(listOf(report.copy(age = 0.seconds)), start + 2.seconds)
+                tracker.treatment("innocent", start + 2.seconds) shouldBe Treatment.Alone
+            }
+
+            it("counts a crash once, however many broken attempts report it") {
+                val tracker = SuspectTracker()
+                repeat(3) { tracker.crashed(crash(1, "killer", "innocent"), start) }
+                tracker.reports(start, most = 9).map { it.crashes } shouldBe listOf(1, 1)
+            }
+
+            it("is blocked for a limited time, then runs alone, and is forgotten in the end") {
+                val tracker = SuspectTracker()
+                tracker.crashed(crash(1, "killer", alone = true), start)
+                tracker.treatment("killer", start + 9.minutes) shouldBe Treatment.Blocked(1.minutes)
+                tracker.treatment("killer", start + 10.minutes) shouldBe Treatment.Alone
+                tracker.treatment("killer", start + 60.minutes) shouldBe Treatment.Normal
+            }
+        }
+
+        describe("reports of other processes") {
+            it("carry a block to a process that saw no crash, without making it younger") {
+                val observer = SuspectTracker()
+                observer.crashed(crash(1, "killer", alone = true), start)
+                val other = SuspectTracker()
+                other.merge(observer.reports(start + 4.minutes, most = 1), start)
+                other.treatment("killer", start) shouldBe Treatment.Blocked(6.minutes)
+            }
+        }
+
+        describe("a full tracker") {
+            it("stays within its bound and keeps blocked requests") {
+                val tracker = SuspectTracker(SuspectLimits(maximumSuspects = 3))
+                tracker.crashed(crash(1, "killer", alone = true), start)
+                (1..9).forEach { tracker.crashed(crash(1, "innocent-$it"), start) }
+                tracker.reports(start, most = 9) shouldHaveSize 3
+                tracker.treatment("killer", start).shouldBeInstanceOf<Treatment.Blocked>()
+            }
+        }
+
+        describe("a fleet of 16 servers whose caller sends a fatal request again every second") {
+            it("loses at most two servers and blocks no innocent request, where a fleet without tracker loses more") {
+                val results = (1L..40L).map { CrashSimulation(seed = it, tracks = true).run() }
+                results.maxOf { it.serversLost } shouldBeLessThanOrEqual 2
+                results.sumOf { it.innocentBlocked } shouldBe 0
+                results.minOf { it.completed } shouldBeGreaterThan 500
+                CrashSimulation(seed = 1, tracks = false).run().serversLost shouldBeGreaterThan 10
+            }
+        }
+    })
