--- a/decision/src/test/kotlin/io/kumquattrail/decision/delivery/CallStateSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/delivery/CallStateSpec.kt
@@ -81,7 +81,7 @@
             it("drops frames of earlier attempts, other requests and other incarnations, which would mix answers") {
                 val call = Driver(WorkKind.REPEATABLE).started().on(CallEvent.ConnectionLost(1))
                 call.frame(FrameContent.Started(status = 200), attempt = 2, incarnation = 7)
-                call.frame(chunk(0), attempt = 1).actions.shouldBeEmpty()
+                call.frame(chunk(0), attempt = 1, incarnation = 7).actions.shouldBeEmpty()
                 call.frame(chunk(0), attempt = 2, incarnation = 8).actions.shouldBeEmpty()
                 call.frame(chunk(0), attempt = 2, incarnation = 7, requestId = "other").actions.shouldBeEmpty()
                 call
