--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/change/MapChangeCoordinator.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/change/MapChangeCoordinator.kt
@@ -314,7 +314,8 @@
     /** Decides what to do once every rank has answered the query. */
     private fun evaluate(now: MonotonicTime): List<MapChangeAction> {
         val reports = answers.map { checkNotNull(it).report }
-        val newest = reports.mapNotNull { it.head }.maxByOrNull { it.version }
+        // An engine that restarted reports the map from the step at which it joined again.
+        val newest = reports.mapNotNull { it.head }.maxWithOrNull(compareBy({ it.version }, { -it.firstStep }))
         val lagging = reports.indices.filter { reports[it].head?.version != newest?.version }.toSet()
         if (newest != null && lagging.isNotEmpty()) return startCompletion(reports, newest, lagging, now)
         val isUnfinished = reports.any { it.pending != null || it.recovering }
--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/change/MapGuard.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/change/MapGuard.kt
@@ -37,6 +37,9 @@
     private var phase = Phase.READING
     private var promised: ProposalNumber? = null
     private var abortedThrough: ProposalNumber? = null
+
+    /** Proposal whose map this rank has released; preparing it again could race with the release. */
+    private var releasedThrough: ProposalNumber? = null
     private var head: CommittedMap? = null
     private var previous: CommittedMap? = null
     private var pending: PendingChange? = null
@@ -207,6 +210,10 @@
                 promiseRefusal(prepare.proposal)
             }
 
+            isAborted(prepare.proposal) -> {
+                MapRefusal.ABORTED
+            }
+
             version == current?.version || version == change?.map?.version -> {
                 null
             }
@@ -240,6 +247,10 @@
                 promiseRefusal(schedule.proposal)
             }
 
+            isAborted(schedule.proposal) -> {
+                MapRefusal.ABORTED
+            }
+
             phase != Phase.ACTIVE -> {
                 MapRefusal.RECOVERING
             }
@@ -317,6 +328,9 @@
         return if (phase == Phase.RECOVERING) MapRefusal.RECOVERING else null
     }
 
+    private fun isAborted(proposal: ProposalNumber): Boolean =
+        listOfNotNull(abortedThrough, releasedThrough).any { proposal <= it }
+
     private fun promiseRefusal(proposal: ProposalNumber): MapRefusal {
         val current = promised
         return if (current != null && proposal < current) MapRefusal.PROMISED_HIGHER else MapRefusal.OTHER_INCARNATION
@@ -415,8 +429,11 @@
         val actions = mutableListOf<MapGuardAction>()
         if (restarted) {
             loadRequested.clear()
-            // The weights of a map that is only prepared are lost; the coordinator notices and aborts the change.
-            if (pending?.step == null) pending = null
+            // The weights of a map that is only prepared are lost; the coordinator aborts the change.
+            pending?.takeIf { it.step == null }?.let {
+                releasedThrough = it.proposal
+                pending = null
+            }
             actions += MapGuardAction.Record(MapGuardEvent.EngineRestarted)
         }
         if (!restarted && isCommandedByAnother(report)) {
--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/change/MapMessages.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/change/MapMessages.kt
@@ -111,6 +111,9 @@
     /** The request was addressed to an earlier run of the agent, or the proposal was never queried by this run. */
     OTHER_INCARNATION,
 
+    /** The rank has released the map of this proposal. */
+    ABORTED,
+
     /** The guard does not yet know the group's map after a restart. */
     RECOVERING,
 
