--- a/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
@@ -2,6 +2,7 @@
 
 import io.kumquattrail.measure.limit.LimitsMeasurement
 import io.kumquattrail.measure.idempotency.AtMostOnceMeasurement
+import io.kumquattrail.measure.expert.MapSwitchMeasurement
 
 /** Lists all measurements that the command line offers. */
 object Measurements {
@@ -9,6 +10,7 @@
         listOf(
             LimitsMeasurement,
             AtMostOnceMeasurement(),
+            MapSwitchMeasurement(),
         )
 
     /** Finds the measurement called [name], or `null`. */
