--- a/agent/src/main/kotlin/io/kumquattrail/agent/AgentProcess.kt
+++ b/agent/src/main/kotlin/io/kumquattrail/agent/AgentProcess.kt
@@ -9,6 +9,7 @@
 import io.kumquattrail.decision.admission.AdmissionAction
 import io.kumquattrail.decision.admission.AdmissionController
 import io.kumquattrail.decision.admission.AdmissionEvent
+import io.kumquattrail.decision.admission.ColdSign
 import io.kumquattrail.decision.admission.DrainState
 import io.kumquattrail.decision.admission.limits
 import io.kumquattrail.decision.configuration.RecordSubscription
@@ -19,6 +20,10 @@
 import io.kumquattrail.decision.identity.ServerName
 import io.kumquattrail.decision.limit.FairQueue
 import io.kumquattrail.decision.record.BackendServerRecord
+import io.kumquattrail.decision.time.MonotonicTime
+import io.kumquattrail.decision.timeline.ColdCause
+import io.kumquattrail.decision.timeline.DrainCause
+import io.kumquattrail.decision.timeline.TimelineEvent
 import io.kumquattrail.node.clock.Clock
 import io.kumquattrail.node.clock.SystemClock
 import io.kumquattrail.node.configuration.ConfigurationExchange
@@ -31,6 +36,7 @@
 import io.kumquattrail.node.rpc.ChannelPool
 import io.kumquattrail.node.rpc.RpcServer
 import io.kumquattrail.node.settings.AgentSettings
+import io.kumquattrail.node.timeline.TimelineRecorder
 import io.vertx.core.Vertx
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -40,6 +46,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.random.Random
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -58,6 +65,7 @@
     private val server = ServerName(settings.server)
     private val incarnation = Incarnation.random(random)
     private val metrics = NodeMetrics()
+    private val timeline = TimelineRecorder(ProcessName(settings.node.rpc.toString()), settings.node.zone, clock)
     private val channels = ChannelPool(settings.node.transportSecurity)
     private val backend = BackendClient(vertx, settings.backend)
     private val service = ConfigurationServiceClient(vertx, settings.node.configurationServices, random)
@@ -74,6 +82,7 @@
             clock = clock,
             random = random,
             metrics = metrics,
+            timeline = timeline,
         )
     private lateinit var rpc: RpcServer
     private lateinit var operations: OperationsServer
@@ -81,16 +90,23 @@
     @Volatile
     private var stopping = false
 
+    @Volatile
+    private var drainStartedAt: MonotonicTime? = null
+
     /** Load of the backend server as the agent knows it. */
     val load get() = admissions.loadReport()
 
     /** Opens the ports and begins to take work as soon as the records describe the server. */
     suspend fun start() {
-        val keys = KeyGate(lazy(::keyTable), configuration, clock)
-        val executor = WorkExecutor(incarnation, admissions, keys, backend, clock, scope)
+        val keyTable = lazy(::keyTable)
+        val keys = KeyGate(keyTable, configuration, clock)
+        val executor = WorkExecutor(incarnation, server, admissions, keys, backend, clock, scope, timeline)
         val work = WorkRpc(service = { ownRecord()?.service }, executor, admissions, keys)
-        rpc = RpcServer(settings.node.rpc, listOf(work, configuration.rpc), settings.node.transportSecurity)
+        val services = listOf(work, configuration.rpc, timeline.rpc)
+        rpc = RpcServer(settings.node.rpc, services, settings.node.transportSecurity)
         rpc.start()
+        // Read now and not at the first call, whose own key would otherwise be older than this table.
+        keyTable.value
         operations = OperationsServer(vertx, settings.node.operations, metrics, AgentReadiness())
         operations.start()
         scope.launch { configuration.current.collect(::recordsChanged) }
@@ -126,8 +142,7 @@
         channels.close()
     }
 
-    // Created by the first call, so the wall time is read after the published address is bound and no earlier agent of
-    // this address still runs.
+    // Created after the published address is bound, so that no earlier agent of this address still runs.
     private fun keyTable(): KeyTable =
         KeyTable(
             server = server,
@@ -144,9 +159,27 @@
     private fun recordsChanged(snapshot: ConfigurationSnapshot) {
         val record = snapshot.records.server(server) ?: return
         val inService = !stopping && snapshot.records.mayReceiveWork(record)
+        noteDrainStart(record, inService, snapshot)
         admissions.report(AdmissionEvent.RecordsChanged(record.limits(), inService, snapshot.records.revision))
     }
 
+    private fun noteDrainStart(
+        record: BackendServerRecord,
+        inService: Boolean,
+        snapshot: ConfigurationSnapshot,
+    ) {
+        if (inService) drainStartedAt = null
+        if (inService || drainStartedAt != null) return
+        drainStartedAt = clock.monotonic()
+        val cause =
+            when {
+                stopping -> DrainCause.PROCESS_STOPPING
+                snapshot.records.zone(record.zone)?.inService != true -> DrainCause.ZONE_OUT_OF_SERVICE
+                else -> DrainCause.SERVER_OUT_OF_SERVICE
+            }
+        timeline.record(TimelineEvent.DrainStarted(server.value, record.zone, cause, load.running))
+    }
+
     private suspend fun tick() {
         while (true) {
             delay(TICK_INTERVAL)
@@ -196,3 +229,11 @@
         val DRAIN_POLL = 20.milliseconds
     }
 }
+
+private fun ColdSign.toCause(): ColdCause =
+    when (this) {
+        ColdSign.AGENT_STARTED -> ColdCause.AGENT_STARTED
+        ColdSign.SERVER_INCARNATION_CHANGED -> ColdCause.SERVER_RESTARTED
+        ColdSign.CONNECTION_RESET -> ColdCause.CONNECTION_RESET
+        ColdSign.LATE_FIRST_TOKEN -> ColdCause.LATE_FIRST_TOKEN
+    }
--- a/agent/src/main/kotlin/io/kumquattrail/agent/work/WorkExecutor.kt
+++ b/agent/src/main/kotlin/io/kumquattrail/agent/work/WorkExecutor.kt
@@ -5,6 +5,7 @@
 import io.kumquattrail.agent.backend.BackendEvent
 import io.kumquattrail.agent.backend.EventStreamSplitter
 import io.kumquattrail.decision.admission.AdmissionEvent
+import io.kumquattrail.decision.admission.HandBackCause
 import io.kumquattrail.decision.admission.SendDecision
 import io.kumquattrail.decision.admission.TokenCost
 import io.kumquattrail.decision.admission.WorkId
@@ -15,9 +16,14 @@
 import io.kumquattrail.decision.idempotency.refusal
 import io.kumquattrail.decision.identity.Incarnation
 import io.kumquattrail.decision.identity.OrganisationName
+import io.kumquattrail.decision.identity.ServerName
 import io.kumquattrail.decision.identity.ServiceName
 import io.kumquattrail.decision.refusal.RefusalReason
+import io.kumquattrail.decision.refusal.RunState
+import io.kumquattrail.decision.timeline.KeyDecision
+import io.kumquattrail.decision.timeline.TimelineEvent
 import io.kumquattrail.node.clock.Clock
+import io.kumquattrail.node.timeline.TimelineRecorder
 import io.kumquattrail.protocol.v1.ExecuteFrame
 import io.kumquattrail.protocol.v1.ExecuteRequest
 import kotlinx.coroutines.CoroutineScope
@@ -30,6 +36,7 @@
 import kotlinx.coroutines.launch
 import java.io.ByteArrayOutputStream
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -39,17 +46,20 @@
  */
 class WorkExecutor(
     private val incarnation: Incarnation,
+    private val server: ServerName,
     private val admissions: AdmissionGate,
     private val keys: KeyGate,
     private val backend: BackendClient,
     private val clock: Clock,
     private val scope: CoroutineScope,
+    private val timeline: TimelineRecorder,
 ) {
     private val fingerprintsInFlight = ConcurrentHashMap<WorkId, String>()
 
     /** Runs one attempt; cancelling the collection cancels repeatable work only. */
     fun execute(request: ExecuteRequest): Flow<ExecuteFrame> =
         flow {
+            timeline.observe(request.clockMilliseconds, request.clockCounter)
             val frames = Channel<ExecuteFrame>(FRAME_BUFFER)
             val job = launchAttempt(request, frames)
             try {
@@ -86,7 +96,9 @@
 
         suspend fun beginKey() {
             val service = ServiceName(request.service)
-            when (val begun = keys.begin(request.idempotencyKey, service, request.keyRound, request.fingerprint)) {
+            val begun = keys.begin(request.idempotencyKey, service, request.keyRound, request.fingerprint)
+            begun?.let(::recordKeyDecision)
+            when (begun) {
                 null -> send(factory.notRun(RefusalReason.KEY_NOT_SUPPORTED))
                 is BeginResult.Run -> admitAndRun(begun.round)
                 is BeginResult.Replay -> replay(begun.answer)
@@ -101,7 +113,7 @@
                 val expected = Incarnation.parse(request.expectedIncarnation)
                 when (val admission = admissions.admit(workItem(), expected)) {
                     is Admission.HandedBack -> {
-                        sendNotRun(round, admission.action.reason, admission.action.retryAfter?.inWholeMilliseconds)
+                        sendNotRun(round, admission.action.reason, admission.action.cause, admission.action.retryAfter)
                     }
 
                     Admission.Duplicate -> {
@@ -117,11 +129,11 @@
                             }
 
                             is SendDecision.Denied -> {
-                                sendNotRun(round, RefusalReason.OVERLOADED, null)
+                                sendNotRun(round, RefusalReason.OVERLOADED, HandBackCause.SEND_DELAYED)
                             }
 
                             SendDecision.NotGranted -> {
-                                sendNotRun(round, RefusalReason.OVERLOADED, null)
+                                sendNotRun(round, RefusalReason.OVERLOADED, HandBackCause.SEND_DELAYED)
                             }
                         }
                     }
@@ -131,6 +143,20 @@
             }
         }
 
+        private fun recordKeyDecision(result: BeginResult) {
+            val decision =
+                when (result) {
+                    is BeginResult.Run -> KeyDecision.RUN
+                    is BeginResult.Replay -> KeyDecision.STORED_RESPONSE
+                    BeginResult.InProgress -> KeyDecision.IN_PROGRESS
+                    is BeginResult.Voided -> KeyDecision.VOIDED
+                    BeginResult.OtherBody -> KeyDecision.REFUSED
+                    is BeginResult.Unknown, BeginResult.OtherIncarnation -> KeyDecision.UNKNOWN
+                }
+            val key = request.idempotencyKey
+            timeline.record(TimelineEvent.KeyDecided(key, request.requestId, decision, request.keyRound))
+        }
+
         private suspend fun refuse(
             result: BeginResult,
             ticketRound: Int?,
@@ -142,10 +168,13 @@
         private suspend fun sendNotRun(
             round: Int?,
             reason: RefusalReason,
-            retryAfterMilliseconds: Long?,
+            cause: HandBackCause,
+            retryAfter: Duration? = null,
         ) {
             val ticket = round?.let { keys.failedBeforeSending(request.idempotencyKey, it) }
-            send(factory.notRun(reason, retryAfter = retryAfterMilliseconds?.milliseconds, ticketRound = ticket?.round))
+            timeline.record(TimelineEvent.AttemptRefused(id.requestId, id.attempt, server, reason, RunState.NO))
+            val detail = "The agent handed the request back: ${cause.name.lowercase().replace('_', ' ')}."
+            send(factory.notRun(reason, detail, retryAfter, ticket?.round))
         }
 
         private suspend fun run(round: Int?) {
--- a/command/src/main/kotlin/io/kumquattrail/command/Main.kt
+++ b/command/src/main/kotlin/io/kumquattrail/command/Main.kt
@@ -17,5 +17,11 @@
 
 fun main(arguments: Array<String>) =
     KumquattrailCommand()
-        .subcommands(GatewayCommand(), AgentCommand(), CheckCommand(), DemoCommand(), MeasureCommand())
-        .main(arguments)
+        .subcommands(
+            GatewayCommand(),
+            AgentCommand(),
+            CheckCommand(),
+            TimelineCommand(),
+            DemoCommand(),
+            MeasureCommand(),
+        ).main(arguments)
--- a/demo/src/main/kotlin/io/kumquattrail/demo/DemoLoad.kt
+++ b/demo/src/main/kotlin/io/kumquattrail/demo/DemoLoad.kt
@@ -1,5 +1,6 @@
 package io.kumquattrail.demo
 
+import io.kumquattrail.node.log.PartLogger
 import io.kumquattrail.standin.engine.ModelEngine
 import io.vertx.core.Vertx
 import io.vertx.core.http.PoolOptions
@@ -27,6 +28,7 @@
     private val counters: DemoCounters,
     seed: Long,
 ) {
+    private val log = PartLogger("demo.load")
     private val random = Random(seed)
     private val client =
         WebClient.create(vertx, WebClientOptions(), PoolOptions().setHttp1MaxSize(LARGEST_POOL))
@@ -65,7 +67,8 @@
                 .put("prompt", prompt)
                 .put("max_tokens", TOKENS)
                 .put("stream", stream)
-        val response = request("/v1/completions", body, key = null, port = ports[index % ports.size]) ?: return torn()
+        val response =
+            request(index, "/v1/completions", body, key = null, port = ports[index % ports.size]) ?: return torn()
         if (response.statusCode() != HTTP_OK) return refused(response)
         val text = if (stream) streamedText(response.bodyAsString()) else wholeText(response.bodyAsString())
         if (text == ModelEngine.expectedText(prompt, TOKENS)) counters.whole.incrementAndGet() else torn()
@@ -78,7 +81,7 @@
         val body = JsonObject().put("reference", reference).put("amount", index)
         repeat(POSTING_SENDS) { sending ->
             val port = ports[(index + sending) % ports.size]
-            val response = request("/services/${LocalFleet.LEDGER}/postings", body, key, port)
+            val response = request(index, "/services/${LocalFleet.LEDGER}/postings", body, key, port)
             when (response?.statusCode()) {
                 HTTP_CREATED -> {
                     counters.whole.incrementAndGet()
@@ -98,12 +101,13 @@
     }
 
     private suspend fun request(
+        index: Int,
         path: String,
         body: JsonObject,
         key: String?,
         port: Int,
     ): HttpResponse<io.vertx.core.buffer.Buffer>? {
-        val organisation = LocalFleet.ORGANISATIONS.keys.random(random)
+        val organisation = ORGANISATIONS[index % ORGANISATIONS.size]
         val request =
             client
                 .post(port, "127.0.0.1", path)
@@ -131,9 +135,16 @@
 
     private fun refused(response: HttpResponse<*>) {
         val problem = runCatching { JsonObject(response.bodyAsString()) }.getOrElse { JsonObject() }
+        log.info("refused", "problem" to problem)
         val type = problem.getString("type", "status-${response.statusCode()}").substringAfterLast(':')
         counters.refusals.computeIfAbsent(type) { AtomicInteger() }.incrementAndGet()
-        if (problem.getString("run") == "no") counters.refusedNotRun.incrementAndGet() else counters.refusedUnknown.incrementAndGet()
+        if (problem.getString("run") ==
+            "no"
+        ) {
+            counters.refusedNotRun.incrementAndGet()
+        } else {
+            counters.refusedUnknown.incrementAndGet()
+        }
     }
 
     private fun torn() {
@@ -142,12 +153,13 @@
 
     private fun versionSevenKey(): String {
         val time = System.currentTimeMillis()
-        val high = (time shl TIME_SHIFT) or VERSION_SEVEN or random.nextLong(RANDOM_BITS)
-        val low = (random.nextLong() ushr 2) or Long.MIN_VALUE
-        return UUID(high, low).toString()
+        val bits = UUID.randomUUID()
+        val high = (time shl TIME_SHIFT) or VERSION_SEVEN or (bits.mostSignificantBits and RANDOM_BITS)
+        return UUID(high, bits.leastSignificantBits).toString()
     }
 
     private companion object {
+        val ORGANISATIONS = LocalFleet.ORGANISATIONS.keys.toList()
         const val LARGEST_POOL = 256
         const val MIX = 4
         const val TOKENS = 24
@@ -158,6 +170,6 @@
         const val LONGEST_PAUSE_MILLISECONDS = 25L
         const val TIME_SHIFT = 16
         const val VERSION_SEVEN = 0x7000L
-        const val RANDOM_BITS = 0x1000L
+        const val RANDOM_BITS = 0xFFFL
     }
 }
--- a/demo/src/main/kotlin/io/kumquattrail/demo/LocalFleet.kt
+++ b/demo/src/main/kotlin/io/kumquattrail/demo/LocalFleet.kt
@@ -18,6 +18,7 @@
 import io.vertx.core.json.JsonObject
 import java.net.ServerSocket
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -105,7 +106,8 @@
         standIn.start()
         val zone = size.zones[index % size.zones.size]
         val node = nodeSettings(zone)
-        val settings = AgentSettings(node, name, SocketAddress(LOOPBACK, standIn.port))
+        val backend = SocketAddress(LOOPBACK, standIn.port)
+        val settings = AgentSettings(node, name, backend, keyClockError = SAME_MACHINE_CLOCK_ERROR)
         val agent = AgentProcess(settings, vertx, random = Random(random.nextLong()))
         agents[name] = agent
         serversByZone.merge(zone, listOf(name), List<String>::plus)
@@ -174,6 +176,9 @@
         val ORGANISATIONS: Map<String, Int> = mapOf("hanbit" to 3, "agency" to 2, "counter" to 1)
 
         private const val LOOPBACK = "127.0.0.1"
+
+        // All processes read the same wall clock.
+        private val SAME_MACHINE_CLOCK_ERROR = 20.milliseconds
         private const val WARM_CONCURRENCY = 32
         private const val FAR_FUTURE_MILLISECONDS = 4_102_444_800_000L
 
--- a/gateway/src/main/kotlin/io/kumquattrail/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/kumquattrail/gateway/GatewayProcess.kt
@@ -38,6 +38,7 @@
 import io.kumquattrail.node.rpc.ChannelPool
 import io.kumquattrail.node.rpc.RpcServer
 import io.kumquattrail.node.settings.GatewaySettings
+import io.kumquattrail.node.timeline.TimelineRecorder
 import io.kumquattrail.protocol.v1.IssueKeysRequest
 import io.kumquattrail.protocol.v1.WorkServiceGrpcKt
 import io.vertx.core.Vertx
@@ -67,6 +68,7 @@
     private val log = PartLogger("gateway")
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val metrics = NodeMetrics()
+    private val timeline = TimelineRecorder(ProcessName(settings.node.rpc.toString()), settings.node.zone, clock)
     private val channels = ChannelPool(settings.node.transportSecurity)
     private val service = ConfigurationServiceClient(vertx, settings.node.configurationServices, random)
     private val configuration =
@@ -80,11 +82,12 @@
             clock = clock,
             random = random,
             metrics = metrics,
+            timeline = timeline,
         )
     private val selection: ServerSelection = InFlightSelection(configuration)
     private val budget = RetryBudget()
     private val sender =
-        AttemptSender(settings.node.rpc.toString(), configuration, selection, channels, clock, metrics)
+        AttemptSender(settings.node.rpc.toString(), configuration, selection, channels, clock, metrics, timeline)
     private val calls =
         CallRunner(sender, RetryPolicy({ now -> synchronized(budget) { budget.tryRetry(now) } }), clock)
     private val parser = RequestParser(settings.defaultTimeout, settings.longestTimeout)
@@ -93,7 +96,8 @@
     private val requestPrefix = java.lang.Long.toHexString(random.nextLong())
     private val requestCount = AtomicLong()
     private val callers = CallerServer(vertx, settings, this)
-    private val rpc = RpcServer(settings.node.rpc, listOf(configuration.rpc), settings.node.transportSecurity)
+    private val rpc =
+        RpcServer(settings.node.rpc, listOf(configuration.rpc, timeline.rpc), settings.node.transportSecurity)
     private val operations = OperationsServer(vertx, settings.node.operations, metrics, GatewayReadiness())
 
     @Volatile
--- a/gateway/src/main/kotlin/io/kumquattrail/gateway/call/AttemptSender.kt
+++ b/gateway/src/main/kotlin/io/kumquattrail/gateway/call/AttemptSender.kt
@@ -10,11 +10,13 @@
 import io.kumquattrail.decision.identity.ServerName
 import io.kumquattrail.decision.record.BackendServerRecord
 import io.kumquattrail.decision.time.MonotonicTime
+import io.kumquattrail.decision.timeline.TimelineEvent
 import io.kumquattrail.gateway.request.ClassifiedRequest
 import io.kumquattrail.node.clock.Clock
 import io.kumquattrail.node.configuration.ConfigurationView
 import io.kumquattrail.node.metrics.NodeMetrics
 import io.kumquattrail.node.rpc.ChannelPool
+import io.kumquattrail.node.timeline.TimelineRecorder
 import io.kumquattrail.protocol.toFrame
 import io.kumquattrail.protocol.toLoadReport
 import io.kumquattrail.protocol.v1.ExecuteRequest
@@ -32,6 +34,7 @@
     private val channels: ChannelPool,
     private val clock: Clock,
     private val metrics: NodeMetrics,
+    private val timeline: TimelineRecorder,
 ) {
     /** Sends [attempt] of [request] and reports everything that follows to [report], until the attempt has ended. */
     suspend fun send(
@@ -48,6 +51,7 @@
             return
         }
         report(CallEvent.ServerChosen(attempt.attempt, server.name))
+        recordRouting(requestId, request, attempt, server)
         selection.started(server.name, request)
         var end = AttemptEnd.ABANDONED
         try {
@@ -94,6 +98,28 @@
             .server(owner)
     }
 
+    private fun recordRouting(
+        requestId: String,
+        request: ClassifiedRequest,
+        attempt: CallAction.SendAttempt,
+        server: BackendServerRecord,
+    ) {
+        val candidates = configuration.current.value.records.serversByService[server.service]
+        timeline.record(
+            TimelineEvent.RequestRouted(
+                request = requestId,
+                attempt = attempt.attempt,
+                service = server.service,
+                server = server.name,
+                organisation = request.identified.organisation.name,
+                candidates = candidates.orEmpty().size,
+                tokensInFlight =
+                    request.identified.request.cost.total
+                        .toLong(),
+            ),
+        )
+    }
+
     private suspend fun exchange(
         requestId: String,
         request: ClassifiedRequest,
@@ -161,6 +187,7 @@
     ): ExecuteRequest {
         val parsed = request.identified.request
         val organisation = request.identified.organisation
+        val timestamp = timeline.timestamp()
         return ExecuteRequest
             .newBuilder()
             .setRequestId(requestId)
@@ -188,6 +215,8 @@
             .setFingerprint(request.fingerprint)
             .setResumeAfterTokens(attempt.resumeAfterTokens)
             .setGateway(gateway)
+            .setClockMilliseconds(timestamp.milliseconds)
+            .setClockCounter(timestamp.counter)
             .build()
     }
 
--- a/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
@@ -1,8 +1,8 @@
 package io.kumquattrail.measure
 
-import io.kumquattrail.measure.limit.LimitsMeasurement
-import io.kumquattrail.measure.idempotency.AtMostOnceMeasurement
 import io.kumquattrail.measure.expert.MapSwitchMeasurement
+import io.kumquattrail.measure.idempotency.AtMostOnceMeasurement
+import io.kumquattrail.measure.limit.LimitsMeasurement
 
 /** Lists all measurements that the command line offers. */
 object Measurements {
--- a/node/src/main/kotlin/io/kumquattrail/node/configuration/ConfigurationExchange.kt
+++ b/node/src/main/kotlin/io/kumquattrail/node/configuration/ConfigurationExchange.kt
@@ -10,14 +10,19 @@
 import io.kumquattrail.decision.configuration.RecordSubscription
 import io.kumquattrail.decision.identity.ProcessName
 import io.kumquattrail.decision.identity.ZoneName
+import io.kumquattrail.decision.record.RecordKind
+import io.kumquattrail.decision.record.RecordSet
+import io.kumquattrail.decision.timeline.TimelineEvent
 import io.kumquattrail.node.clock.Clock
 import io.kumquattrail.node.log.PartLogger
 import io.kumquattrail.node.metrics.NodeMetrics
 import io.kumquattrail.node.rpc.ChannelPool
+import io.kumquattrail.node.timeline.TimelineRecorder
 import io.kumquattrail.protocol.v1.ExchangeServiceGrpcKt
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
@@ -47,6 +52,7 @@
     private val clock: Clock,
     random: Random,
     private val metrics: NodeMetrics,
+    private val timeline: TimelineRecorder,
 ) : ConfigurationView {
     private val log = PartLogger("node.configuration")
     private val state = ConfigurationState(PublishedRecordDecoder(), subscription)
@@ -110,10 +116,11 @@
             ExchangeServiceGrpcKt
                 .ExchangeServiceCoroutineStub(channels.channel(action.peer.value))
                 .withDeadlineAfter(CALL_TIMEOUT_SECONDS, TimeUnit.SECONDS)
-        val request = action.message.toProto()
+        val request = stamped(action.message.toProto())
         try {
             val answer = stub.exchange(request)
             countBytes(sent = request.serializedSize, received = answer.serializedSize)
+            timeline.observe(answer.clockMilliseconds, answer.clockCounter)
             command { policy.answered(answer.toMessage(), clock.monotonic()) }
         } catch (_: StatusException) {
             command { policy.peerFailed(action.peer, clock.monotonic()) }
@@ -137,7 +144,34 @@
         }
         log.info("records in effect", "revision" to applied.revision, "changed" to applied.changed.size)
         metrics.revision.set(applied.revision.toDouble())
+        val before = snapshots.value.records
         snapshots.value = ConfigurationSnapshot(state.records, state.confirmed)
+        recordEvents(applied, before)
+    }
+
+    private fun recordEvents(
+        applied: ApplyOutcome.Applied,
+        before: RecordSet,
+    ) {
+        timeline.record(
+            TimelineEvent.ConfigurationInEffect(
+                revision = applied.revision,
+                previous = applied.previous,
+                changed = applied.changed.map { it.toString() },
+                rejected = applied.rejected.map { it.key.toString() },
+                confirmed = state.confirmed,
+                source = "exchange",
+            ),
+        )
+        applied.changed
+            .filter { it.kind == RecordKind.ZONE.label }
+            .map { ZoneName(it.name) }
+            .forEach { zone ->
+                val inService = state.records.zone(zone)?.inService == true
+                val wasInService = before.zone(zone)?.inService == true
+                if (inService && !wasInService) timeline.record(TimelineEvent.ZoneInService(zone, applied.revision))
+                if (!inService && wasInService) timeline.record(TimelineEvent.ZoneOutOfService(zone, applied.revision))
+            }
     }
 
     private fun noteConfirmed() {
@@ -155,12 +189,21 @@
                 },
                 failure = { log.warn("list of VMs is not available", "error" to it) },
             )
-            kotlinx.coroutines.delay(if (current.value.records.revision == 0L) FIRST_LIST_INTERVAL else LIST_INTERVAL)
+            delay(if (current.value.records.revision == 0L) FIRST_LIST_INTERVAL else LIST_INTERVAL)
         }
     }
 
     private fun peer(machine: ListedVirtualMachine): Peer = Peer(ProcessName(machine.address), ZoneName(machine.zone))
 
+    private fun stamped(message: ExchangeMessageProto): ExchangeMessageProto {
+        val timestamp = timeline.timestamp()
+        return message
+            .toBuilder()
+            .setClockMilliseconds(timestamp.milliseconds)
+            .setClockCounter(timestamp.counter)
+            .build()
+    }
+
     private fun command(action: () -> List<ExchangeAction>) {
         commands.trySend(action)
     }
@@ -175,10 +218,11 @@
 
     private inner class Service : ExchangeServiceGrpcKt.ExchangeServiceCoroutineImplBase() {
         override suspend fun exchange(request: ExchangeMessageProto): ExchangeMessageProto {
+            timeline.observe(request.clockMilliseconds, request.clockCounter)
             val answer = CompletableDeferred<ExchangeMessageProto>()
             command {
                 val reply = policy.requested(request.toMessage(), clock.monotonic())
-                answer.complete(reply.answer.toProto())
+                answer.complete(stamped(reply.answer.toProto()))
                 reply.actions
             }
             return answer.await().also { countBytes(sent = it.serializedSize, received = request.serializedSize) }
