--- a/decision/src/main/kotlin/io/kumquattrail/decision/admission/AdmissionAction.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/admission/AdmissionAction.kt
@@ -56,6 +56,7 @@
     SHED(RefusalReason.OVERLOADED),
     SERVER_COLD(RefusalReason.OVERLOADED),
     TOO_LARGE(RefusalReason.REQUEST_TOO_LARGE),
+    SERVER_UNREACHABLE(RefusalReason.NO_SERVER_AVAILABLE),
     SEND_DELAYED(RefusalReason.OVERLOADED),
 }
 
--- a/decision/src/main/kotlin/io/kumquattrail/decision/admission/AdmissionController.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/admission/AdmissionController.kt
@@ -32,6 +32,11 @@
     }
 
     private val flights = LinkedHashMap<WorkId, Flight>()
+
+    /** Sent work without a first token, which is what [noteLateFirstTokens] looks at on every tick. */
+    private val unanswered = LinkedHashMap<WorkId, Flight>()
+    private var flightTokens = 0L
+    private var aloneFlights = 0
     private val knownIds = LinkedHashSet<WorkId>()
     private var published: AdmissionEvent.RecordsChanged? = null
     private var coldStart: ColdStartLimit? = null
@@ -53,7 +58,7 @@
     val running: Int get() = flights.size + otherRunning
 
     /** Tokens of the requests in flight. */
-    val tokensInFlight: Long get() = flights.values.sumOf { it.tokens } + otherTokens
+    val tokensInFlight: Long get() = flightTokens + otherTokens
 
     /** Applies [event] and returns what the agent has to do, in order. */
     fun onEvent(
@@ -67,6 +72,7 @@
                 is AdmissionEvent.WorkWithdrawn -> withdraw(event.id)
                 is AdmissionEvent.FirstToken -> noteFirstToken(event.id, now)
                 is AdmissionEvent.OutputProgress -> noteOutput(event.id, event.outputTokens)
+                is AdmissionEvent.NotConnected -> handBackUnconnected(event.id)
                 is AdmissionEvent.WorkEnded -> end(event, now)
                 is AdmissionEvent.ServerObserved -> observe(event)
                 is AdmissionEvent.RecordsChanged -> publish(event)
@@ -99,9 +105,10 @@
         if (cause == null && server != null) {
             flight.promptTokensAhead = promptTokensAhead() + flight.item.cost.promptTokens
             flight.sentAt = now
+            unanswered[id] = flight
             return SendDecision.Send(server)
         }
-        flights -= id
+        removeFlight(id)
         return SendDecision.Denied(
             buildList {
                 notePause(now)
@@ -126,6 +133,7 @@
             draining = drainState != DrainState.IN_SERVICE,
             incarnation = incarnation,
             revision = published?.revision ?: 0,
+            promptTokensWaiting = promptTokensAhead(),
         )
 
     private fun MutableList<AdmissionAction>.arrive(
@@ -169,7 +177,7 @@
 
     private fun withdraw(id: WorkId) {
         queue.remove(id)
-        if (flights[id]?.sentAt == null) flights -= id
+        if (flights[id]?.sentAt == null) removeFlight(id)
     }
 
     private fun MutableList<AdmissionAction>.noteFirstToken(
@@ -180,6 +188,7 @@
         val sentAt = flight.sentAt ?: return
         if (flight.firstTokenAt != null) return
         flight.firstTokenAt = now
+        unanswered -= id
         if (!flight.measurable) return
         noteIfLate(flight, now)
         firstToken = firstToken.observed(flight.promptTokensAhead, now - sentAt)
@@ -190,14 +199,22 @@
         outputTokens: Int,
     ) {
         val flight = flights[id] ?: return
+        flightTokens -= flight.tokens
         flight.outputTokens = maxOf(flight.outputTokens, outputTokens)
+        flightTokens += flight.tokens
+    }
+
+    private fun MutableList<AdmissionAction>.handBackUnconnected(id: WorkId) {
+        val flight = removeFlight(id) ?: return
+        handBack(flight.item, HandBackCause.SERVER_UNREACHABLE)
+        resetConnection()
     }
 
     private fun MutableList<AdmissionAction>.end(
         event: AdmissionEvent.WorkEnded,
         now: MonotonicTime,
     ) {
-        val flight = flights.remove(event.id) ?: return
+        val flight = removeFlight(event.id) ?: return
         if (flight.sentAt == null) return
         noteTokenTime(flight, now)
         when (event.outcome) {
@@ -307,16 +324,28 @@
     private fun MutableList<AdmissionAction>.handBackUnsent(cause: HandBackCause) {
         val granted = flights.values.filter { it.sentAt == null }
         granted.forEach {
-            flights -= it.item.id
+            removeFlight(it.item.id)
             handBack(it.item, cause)
         }
         queue.drain().forEach { handBack(it, cause) }
     }
 
     private fun MutableList<AdmissionAction>.noteLateFirstTokens(now: MonotonicTime) {
-        flights.values
-            .filter { it.measurable && it.sentAt != null && it.firstTokenAt == null }
-            .forEach { noteIfLate(it, now) }
+        unanswered.values.filter { it.measurable }.forEach { noteIfLate(it, now) }
+    }
+
+    private fun addFlight(flight: Flight) {
+        flights[flight.item.id] = flight
+        flightTokens += flight.tokens
+        if (flight.item.runAlone) aloneFlights += 1
+    }
+
+    private fun removeFlight(id: WorkId): Flight? {
+        val flight = flights.remove(id) ?: return null
+        unanswered -= id
+        flightTokens -= flight.tokens
+        if (flight.item.runAlone) aloneFlights -= 1
+        return flight
     }
 
     private fun MutableList<AdmissionAction>.noteIfLate(
@@ -369,7 +398,7 @@
             } else {
                 if (!fits(next, limit)) return
                 queue.poll(now)
-                flights[next.id] = Flight(next, now, limit.generation)
+                addFlight(Flight(next, now, limit.generation))
                 add(AdmissionAction.Start(next))
             }
         }
@@ -380,7 +409,7 @@
         limit: ColdStartLimit,
     ): Boolean =
         when {
-            flights.values.any { it.item.runAlone } -> false
+            aloneFlights > 0 -> false
             item.runAlone -> running == 0
             else -> running < limit.concurrency && tokensInFlight + item.cost.total <= limit.tokens
         }
@@ -394,13 +423,9 @@
     }
 
     private fun promptTokensAhead(): Long =
-        flights.values.sumOf { flight ->
-            if (flight.sentAt != null && flight.firstTokenAt == null) {
-                flight.item.cost.promptTokens
-                    .toLong()
-            } else {
-                0L
-            }
+        unanswered.values.sumOf {
+            it.item.cost.promptTokens
+                .toLong()
         }
 
     private fun MutableList<AdmissionAction>.handBack(
@@ -409,7 +434,11 @@
     ) {
         val retryAfter =
             when (cause) {
-                HandBackCause.SERVER_COLD, HandBackCause.SHED -> settings.coldRetryAfter
+                HandBackCause.SERVER_COLD,
+                HandBackCause.SERVER_UNREACHABLE,
+                HandBackCause.SHED,
+                -> settings.coldRetryAfter
+
                 else -> null
             }
         add(AdmissionAction.HandBack(item, cause, retryAfter))
--- a/decision/src/main/kotlin/io/kumquattrail/decision/admission/AdmissionEvent.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/admission/AdmissionEvent.kt
@@ -31,6 +31,11 @@
         val outputTokens: Int,
     ) : AdmissionEvent
 
+    /** No connection was made for work that [AdmissionController.recheck] allowed, so it has not run. */
+    data class NotConnected(
+        val id: WorkId,
+    ) : AdmissionEvent
+
     /** The work that was sent ended. */
     data class WorkEnded(
         val id: WorkId,
--- a/decision/src/main/kotlin/io/kumquattrail/decision/admission/LoadReport.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/admission/LoadReport.kt
@@ -9,6 +9,7 @@
  * @property queued requests that wait at the agent.
  * @property queuedTokens tokens of the requests that wait at the agent.
  * @property tokensInFlight prompt and expected output tokens of the requests in flight.
+ * @property promptTokensWaiting prompt tokens of queued and running requests that have no first token yet.
  * @property millisecondsPerToken smoothed time between output tokens; 0 when unknown.
  * @property firstTokenMilliseconds smoothed time to first token; 0 when unknown.
  * @property cold whether the limits are below those of the warm server.
@@ -27,4 +28,5 @@
     val draining: Boolean,
     val incarnation: Incarnation,
     val revision: Long,
+    val promptTokensWaiting: Long = 0,
 )
