Add the zone-service measurement and notice silent servers

A server that answers none of at least 8 requests for 16 usual intervals, and at least 1 s, now counts as cold (ColdSign.SILENT_SERVER).

The new admission test fails without noteSilence.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/admission/AdmissionController.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/admission/AdmissionController.kt
@@ -2,6 +2,7 @@
 
 import io.kumquattrail.decision.identity.Incarnation
 import io.kumquattrail.decision.time.MonotonicTime
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.DurationUnit
 
 /**
@@ -49,6 +50,8 @@
     private var lastCall: MonotonicTime? = null
     private var firstToken = FirstTokenModel()
     private var millisecondsPerToken = 0.0
+    private var lastAnswerAt: MonotonicTime? = null
+    private var answerMilliseconds = 0.0
 
     /** Whether the server receives new work. */
     var drainState: DrainState = DrainState.UNPUBLISHED
@@ -68,17 +71,50 @@
         buildList {
             notePause(now)
             when (event) {
-                is AdmissionEvent.WorkArrived -> arrive(event, now)
-                is AdmissionEvent.WorkWithdrawn -> withdraw(event.id)
-                is AdmissionEvent.FirstToken -> noteFirstToken(event.id, now)
-                is AdmissionEvent.OutputProgress -> noteOutput(event.id, event.outputTokens)
-                is AdmissionEvent.NotConnected -> handBackUnconnected(event.id)
-                is AdmissionEvent.WorkEnded -> end(event, now)
-                is AdmissionEvent.ServerObserved -> observe(event)
-                is AdmissionEvent.RecordsChanged -> publish(event)
-                AdmissionEvent.ConnectionReset -> resetConnection()
-                AdmissionEvent.RecordsConfirmed -> heldUntil = null
-                AdmissionEvent.Tick -> noteLateFirstTokens(now)
+                is AdmissionEvent.WorkArrived -> {
+                    arrive(event, now)
+                }
+
+                is AdmissionEvent.WorkWithdrawn -> {
+                    withdraw(event.id)
+                }
+
+                is AdmissionEvent.FirstToken -> {
+                    noteFirstToken(event.id, now)
+                }
+
+                is AdmissionEvent.OutputProgress -> {
+                    noteOutput(event.id, event.outputTokens)
+                }
+
+                is AdmissionEvent.NotConnected -> {
+                    handBackUnconnected(event.id)
+                }
+
+                is AdmissionEvent.WorkEnded -> {
+                    end(event, now)
+                }
+
+                is AdmissionEvent.ServerObserved -> {
+                    observe(event)
+                }
+
+                is AdmissionEvent.RecordsChanged -> {
+                    publish(event)
+                }
+
+                AdmissionEvent.ConnectionReset -> {
+                    resetConnection()
+                }
+
+                AdmissionEvent.RecordsConfirmed -> {
+                    heldUntil = null
+                }
+
+                AdmissionEvent.Tick -> {
+                    noteLateFirstTokens(now)
+                    noteSilence(now)
+                }
             }
             proceed(now)
         }
@@ -187,6 +223,7 @@
         val flight = flights[id] ?: return
         val sentAt = flight.sentAt ?: return
         if (flight.firstTokenAt != null) return
+        noteAnswer(now)
         flight.firstTokenAt = now
         unanswered -= id
         if (!flight.measurable) return
@@ -216,6 +253,7 @@
     ) {
         val flight = removeFlight(event.id) ?: return
         if (flight.sentAt == null) return
+        noteAnswer(now)
         noteTokenTime(flight, now)
         when (event.outcome) {
             WorkOutcome.COMPLETED -> {
@@ -334,6 +372,29 @@
         unanswered.values.filter { it.measurable }.forEach { noteIfLate(it, now) }
     }
 
+    private fun noteAnswer(now: MonotonicTime) {
+        lastAnswerAt?.let { last ->
+            val interval = (now - last).toDouble(DurationUnit.MILLISECONDS)
+            answerMilliseconds += SMOOTHING * (interval - answerMilliseconds)
+        }
+        lastAnswerAt = now
+    }
+
+    /**
+     * Notes a server that answers none of many requests.
+     *
+     * Under high load a first token may take long without being late, so lateness alone would notice a cold server only
+     * after seconds.
+     */
+    private fun MutableList<AdmissionAction>.noteSilence(now: MonotonicTime) {
+        val last = lastAnswerAt ?: return
+        val silence = now - last
+        if (flights.size < settings.silenceRequests || silence < settings.silenceMinimum) return
+        if (silence < (answerMilliseconds * settings.silenceFactor).milliseconds) return
+        lastAnswerAt = null
+        if ((coldStart?.doublings ?: 0) > 0) becomeCold(ColdSign.SILENT_SERVER)
+    }
+
     private fun addFlight(flight: Flight) {
         flights[flight.item.id] = flight
         flightTokens += flight.tokens
@@ -372,6 +433,7 @@
         observationNeeded = true
         lastReadRequest = null
         flights.values.forEach { it.measurable = false }
+        lastAnswerAt = null
         add(AdmissionAction.ConfirmRecords)
     }
 
--- a/decision/src/main/kotlin/io/kumquattrail/decision/admission/AdmissionSettings.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/admission/AdmissionSettings.kt
@@ -16,6 +16,9 @@
  * @property lateFactor factor over the expected time to first token that is a sign of a cold server.
  * @property lateMinimum time to first token that is never late.
  * @property serverCountDelay time after a send from which the server's own count certainly holds the work.
+ * @property silenceFactor factor over the usual time between two answers that is a sign of a cold server.
+ * @property silenceMinimum time without an answer that is never a sign.
+ * @property silenceRequests requests in flight from which silence is a sign.
  * @property maximumRememberedIds attempts that are remembered, so that a duplicated message is recognised.
  */
 data class AdmissionSettings(
@@ -28,5 +31,8 @@
     val lateFactor: Double = 6.0,
     val lateMinimum: Duration = 400.milliseconds,
     val serverCountDelay: Duration = 500.milliseconds,
+    val silenceFactor: Double = 16.0,
+    val silenceMinimum: Duration = 1.seconds,
+    val silenceRequests: Int = 8,
     val maximumRememberedIds: Int = 4_096,
 )
--- a/decision/src/main/kotlin/io/kumquattrail/decision/admission/ColdStartLimit.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/admission/ColdStartLimit.kt
@@ -6,6 +6,9 @@
     SERVER_INCARNATION_CHANGED,
     CONNECTION_RESET,
     LATE_FIRST_TOKEN,
+
+    /** No request in flight made progress for long, although many are in flight. */
+    SILENT_SERVER,
 }
 
 /**
--- a/decision/src/test/kotlin/io/kumquattrail/decision/admission/AdmissionControllerSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/admission/AdmissionControllerSpec.kt
@@ -180,6 +180,20 @@
                 agent.controller.loadReport().cold shouldBe true
             }
 
+            it("is recognised under high load, when no request in flight makes progress") {
+                val agent = Agent()
+                agent.warmUp()
+                repeat(10) {
+                    agent.pass(100.milliseconds)
+                    agent.finish(agent.offer())
+                }
+                repeat(8) { agent.offer() }
+                agent.pass(900.milliseconds)
+                agent.controller.loadReport().cold shouldBe false
+                agent.pass(1.seconds)
+                agent.controller.loadReport().cold shouldBe true
+            }
+
             it("is not assumed after a pause of the agent, whose first tokens seem late") {
                 val agent = Agent()
                 agent.warmUp()
--- a/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
@@ -1,12 +1,14 @@
 package io.kumquattrail.measure
 
 import io.kumquattrail.measure.routing.RoutingMeasurement
+import io.kumquattrail.measure.zone.ZoneMeasurement
 
 /** Lists all measurements that the command line offers. */
 object Measurements {
     val all: List<Measurement> =
         listOf(
             RoutingMeasurement(),
+            ZoneMeasurement(),
         )
 
     /** Finds the measurement called [name], or `null`. */
--- a/measure/src/main/kotlin/io/kumquattrail/measure/routing/AgentModel.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/routing/AgentModel.kt
@@ -89,7 +89,7 @@
         tell(AdmissionEvent.OutputProgress(id, job.outputTokens))
         forget(id)
         tell(AdmissionEvent.WorkEnded(id, WorkOutcome.COMPLETED))
-        job.reference.gateway.onFinished(job.reference, this)
+        job.reference.gateway.onFinished(job.reference, job.outputTokens, this)
     }
 
     override fun onBroken(job: RunnerJob) {
--- a/measure/src/main/kotlin/io/kumquattrail/measure/routing/Figures.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/routing/Figures.kt
@@ -20,6 +20,16 @@
     var outputTokens = 0L
         private set
 
+    /** Starts a new period of recording, without what was recorded before. */
+    fun startPeriod() {
+        isRecording = true
+        firstToken.reset()
+        betweenTokens.reset()
+        outputTokens = 0
+        promptTokens = 0
+        cachedTokens = 0
+    }
+
     fun recordFirstToken(duration: Duration) {
         if (isRecording) firstToken.recordValue(microseconds(duration))
     }
--- a/measure/src/main/kotlin/io/kumquattrail/measure/routing/FleetModel.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/routing/FleetModel.kt
@@ -47,8 +47,8 @@
 /** Runs gateways with the product's policies in front of agents with the product's admission, on virtual time. */
 internal class FleetModel(
     private val options: FleetOptions,
+    val events: EventQueue = EventQueue(),
 ) {
-    val events = EventQueue()
     val figures = Figures()
     private val random = Random(options.seed)
     private val workload = Workload(Random(options.seed + 1), options.organisations)
--- a/measure/src/main/kotlin/io/kumquattrail/measure/routing/GatewayModel.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/routing/GatewayModel.kt
@@ -80,9 +80,11 @@
 
     fun onFinished(
         attempt: Attempt,
+        outputTokens: Int,
         sender: AgentModel,
     ) = receive(latency(sender)) {
         policy.onEnd(attempt.assignment, AssignmentEnd.Completed, events.now)
+        attempt.call.receivedTokens += outputTokens
         end(attempt.call, CallEnd.COMPLETED)
     }
 
--- a/measure/src/main/kotlin/io/kumquattrail/measure/routing/RunnerModel.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/routing/RunnerModel.kt
@@ -64,6 +64,7 @@
     private var heldTokens = 0L
     private var steps = 0L
     private var isStepping = false
+    private var isStalled = false
     private var run = 0
     private var completions = 0
     private var coldSince: MonotonicTime? = if (profile.startsCold) events.now else null
@@ -116,8 +117,14 @@
         broken.forEach { listener.onBroken(it) }
     }
 
-    /** Loses caches and warm state without a restart; new work is checked against the cold bound after [graceTime]. */
-    fun becomeCold(graceTime: Duration) {
+    /** Loses caches and warm state without a restart, and reloads for [STALL_TIME] before the next step. */
+    fun becomeColdSilently(graceTime: Duration) {
+        becomeCold(graceTime)
+        isStalled = true
+    }
+
+    /** Loses caches and warm state; new work is checked against the cold bound after [graceTime]. */
+    private fun becomeCold(graceTime: Duration) {
         cache.clear()
         completions = 0
         coldSince = events.now
@@ -132,7 +139,9 @@
         val microseconds =
             STEP_MICROSECONDS + generating.size * REQUEST_MICROSECONDS + heldTokens * HELD_TOKEN_MICROSECONDS +
                 chunk * PROMPT_TOKEN_MICROSECONDS
-        val duration = (microseconds * profile.slowness * slowdown * cold).microseconds
+        val stall = if (isStalled) STALL_TIME else Duration.ZERO
+        isStalled = false
+        val duration = (microseconds * profile.slowness * slowdown * cold).microseconds + stall
         val startedRun = run
         val tokens = generating.size
         events.after(duration) {
@@ -195,5 +204,6 @@
         const val COLD_SLOWNESS = 1.5
         const val MAXIMUM_DOUBLINGS = 16
         val RESTART_TIME = 3.seconds
+        val STALL_TIME = 3.seconds
     }
 }
