--- a/decision/src/main/kotlin/io/kumquattrail/decision/admission/AdmissionController.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/admission/AdmissionController.kt
@@ -2,6 +2,7 @@
 
 import io.kumquattrail.decision.identity.Incarnation
 import io.kumquattrail.decision.time.MonotonicTime
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.DurationUnit
 
 /**
@@ -32,6 +33,11 @@
     }
 
     private val flights = LinkedHashMap<WorkId, Flight>()
+
+    /** Sent work without a first token, which is what [noteLateFirstTokens] looks at on every tick. */
+    private val unanswered = LinkedHashMap<WorkId, Flight>()
+    private var flightTokens = 0L
+    private var aloneFlights = 0
     private val knownIds = LinkedHashSet<WorkId>()
     private var published: AdmissionEvent.RecordsChanged? = null
     private var coldStart: ColdStartLimit? = null
@@ -44,6 +50,8 @@
     private var lastCall: MonotonicTime? = null
     private var firstToken = FirstTokenModel()
     private var millisecondsPerToken = 0.0
+    private var lastAnswerAt: MonotonicTime? = null
+    private var answerMilliseconds = 0.0
 
     /** Whether the server receives new work. */
     var drainState: DrainState = DrainState.UNPUBLISHED
@@ -53,7 +61,7 @@
     val running: Int get() = flights.size + otherRunning
 
     /** Tokens of the requests in flight. */
-    val tokensInFlight: Long get() = flights.values.sumOf { it.tokens } + otherTokens
+    val tokensInFlight: Long get() = flightTokens + otherTokens
 
     /** Applies [event] and returns what the agent has to do, in order. */
     fun onEvent(
@@ -63,16 +71,50 @@
         buildList {
             notePause(now)
             when (event) {
-                is AdmissionEvent.WorkArrived -> arrive(event, now)
-                is AdmissionEvent.WorkWithdrawn -> withdraw(event.id)
-                is AdmissionEvent.FirstToken -> noteFirstToken(event.id, now)
-                is AdmissionEvent.OutputProgress -> noteOutput(event.id, event.outputTokens)
-                is AdmissionEvent.WorkEnded -> end(event, now)
-                is AdmissionEvent.ServerObserved -> observe(event)
-                is AdmissionEvent.RecordsChanged -> publish(event)
-                AdmissionEvent.ConnectionReset -> resetConnection()
-                AdmissionEvent.RecordsConfirmed -> heldUntil = null
-                AdmissionEvent.Tick -> noteLateFirstTokens(now)
+                is AdmissionEvent.WorkArrived -> {
+                    arrive(event, now)
+                }
+
+                is AdmissionEvent.WorkWithdrawn -> {
+                    withdraw(event.id)
+                }
+
+                is AdmissionEvent.FirstToken -> {
+                    noteFirstToken(event.id, now)
+                }
+
+                is AdmissionEvent.OutputProgress -> {
+                    noteOutput(event.id, event.outputTokens)
+                }
+
+                is AdmissionEvent.NotConnected -> {
+                    handBackUnconnected(event.id)
+                }
+
+                is AdmissionEvent.WorkEnded -> {
+                    end(event, now)
+                }
+
+                is AdmissionEvent.ServerObserved -> {
+                    observe(event)
+                }
+
+                is AdmissionEvent.RecordsChanged -> {
+                    publish(event)
+                }
+
+                AdmissionEvent.ConnectionReset -> {
+                    resetConnection()
+                }
+
+                AdmissionEvent.RecordsConfirmed -> {
+                    heldUntil = null
+                }
+
+                AdmissionEvent.Tick -> {
+                    noteLateFirstTokens(now)
+                    noteSilence(now)
+                }
             }
             proceed(now)
         }
@@ -99,9 +141,10 @@
         if (cause == null && server != null) {
             flight.promptTokensAhead = promptTokensAhead() + flight.item.cost.promptTokens
             flight.sentAt = now
+            unanswered[id] = flight
             return SendDecision.Send(server)
         }
-        flights -= id
+        removeFlight(id)
         return SendDecision.Denied(
             buildList {
                 notePause(now)
@@ -126,6 +169,7 @@
             draining = drainState != DrainState.IN_SERVICE,
             incarnation = incarnation,
             revision = published?.revision ?: 0,
+            promptTokensWaiting = promptTokensAhead(),
         )
 
     private fun MutableList<AdmissionAction>.arrive(
@@ -169,7 +213,7 @@
 
     private fun withdraw(id: WorkId) {
         queue.remove(id)
-        if (flights[id]?.sentAt == null) flights -= id
+        if (flights[id]?.sentAt == null) removeFlight(id)
     }
 
     private fun MutableList<AdmissionAction>.noteFirstToken(
@@ -179,7 +223,9 @@
         val flight = flights[id] ?: return
         val sentAt = flight.sentAt ?: return
         if (flight.firstTokenAt != null) return
+        noteAnswer(now)
         flight.firstTokenAt = now
+        unanswered -= id
         if (!flight.measurable) return
         noteIfLate(flight, now)
         firstToken = firstToken.observed(flight.promptTokensAhead, now - sentAt)
@@ -190,15 +236,24 @@
         outputTokens: Int,
     ) {
         val flight = flights[id] ?: return
+        flightTokens -= flight.tokens
         flight.outputTokens = maxOf(flight.outputTokens, outputTokens)
+        flightTokens += flight.tokens
+    }
+
+    private fun MutableList<AdmissionAction>.handBackUnconnected(id: WorkId) {
+        val flight = removeFlight(id) ?: return
+        handBack(flight.item, HandBackCause.SERVER_UNREACHABLE)
+        resetConnection()
     }
 
     private fun MutableList<AdmissionAction>.end(
         event: AdmissionEvent.WorkEnded,
         now: MonotonicTime,
     ) {
-        val flight = flights.remove(event.id) ?: return
+        val flight = removeFlight(event.id) ?: return
         if (flight.sentAt == null) return
+        noteAnswer(now)
         noteTokenTime(flight, now)
         when (event.outcome) {
             WorkOutcome.COMPLETED -> {
@@ -307,16 +362,51 @@
     private fun MutableList<AdmissionAction>.handBackUnsent(cause: HandBackCause) {
         val granted = flights.values.filter { it.sentAt == null }
         granted.forEach {
-            flights -= it.item.id
+            removeFlight(it.item.id)
             handBack(it.item, cause)
         }
         queue.drain().forEach { handBack(it, cause) }
     }
 
     private fun MutableList<AdmissionAction>.noteLateFirstTokens(now: MonotonicTime) {
-        flights.values
-            .filter { it.measurable && it.sentAt != null && it.firstTokenAt == null }
-            .forEach { noteIfLate(it, now) }
+        unanswered.values.filter { it.measurable }.forEach { noteIfLate(it, now) }
+    }
+
+    private fun noteAnswer(now: MonotonicTime) {
+        lastAnswerAt?.let { last ->
+            val interval = (now - last).toDouble(DurationUnit.MILLISECONDS)
+            answerMilliseconds += SMOOTHING * (interval - answerMilliseconds)
+        }
+        lastAnswerAt = now
+    }
+
+    /**
+     * Notes a server that answers none of many requests.
+     *
+     * Under high load a first token may take long without being late, so lateness alone would notice a cold server only
+     * after seconds.
+     */
+    private fun MutableList<AdmissionAction>.noteSilence(now: MonotonicTime) {
+        val last = lastAnswerAt ?: return
+        val silence = now - last
+        if (flights.size < settings.silenceRequests || silence < settings.silenceMinimum) return
+        if (silence < (answerMilliseconds * settings.silenceFactor).milliseconds) return
+        lastAnswerAt = null
+        if ((coldStart?.doublings ?: 0) > 0) becomeCold(ColdSign.SILENT_SERVER)
+    }
+
+    private fun addFlight(flight: Flight) {
+        flights[flight.item.id] = flight
+        flightTokens += flight.tokens
+        if (flight.item.runAlone) aloneFlights += 1
+    }
+
+    private fun removeFlight(id: WorkId): Flight? {
+        val flight = flights.remove(id) ?: return null
+        unanswered -= id
+        flightTokens -= flight.tokens
+        if (flight.item.runAlone) aloneFlights -= 1
+        return flight
     }
 
     private fun MutableList<AdmissionAction>.noteIfLate(
@@ -343,6 +433,7 @@
         observationNeeded = true
         lastReadRequest = null
         flights.values.forEach { it.measurable = false }
+        lastAnswerAt = null
         add(AdmissionAction.ConfirmRecords)
     }
 
@@ -369,7 +460,7 @@
             } else {
                 if (!fits(next, limit)) return
                 queue.poll(now)
-                flights[next.id] = Flight(next, now, limit.generation)
+                addFlight(Flight(next, now, limit.generation))
                 add(AdmissionAction.Start(next))
             }
         }
@@ -380,7 +471,7 @@
         limit: ColdStartLimit,
     ): Boolean =
         when {
-            flights.values.any { it.item.runAlone } -> false
+            aloneFlights > 0 -> false
             item.runAlone -> running == 0
             else -> running < limit.concurrency && tokensInFlight + item.cost.total <= limit.tokens
         }
@@ -394,13 +485,9 @@
     }
 
     private fun promptTokensAhead(): Long =
-        flights.values.sumOf { flight ->
-            if (flight.sentAt != null && flight.firstTokenAt == null) {
-                flight.item.cost.promptTokens
-                    .toLong()
-            } else {
-                0L
-            }
+        unanswered.values.sumOf {
+            it.item.cost.promptTokens
+                .toLong()
         }
 
     private fun MutableList<AdmissionAction>.handBack(
@@ -409,7 +496,11 @@
     ) {
         val retryAfter =
             when (cause) {
-                HandBackCause.SERVER_COLD, HandBackCause.SHED -> settings.coldRetryAfter
+                HandBackCause.SERVER_COLD,
+                HandBackCause.SERVER_UNREACHABLE,
+                HandBackCause.SHED,
+                -> settings.coldRetryAfter
+
                 else -> null
             }
         add(AdmissionAction.HandBack(item, cause, retryAfter))
--- a/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
@@ -3,6 +3,8 @@
 import io.kumquattrail.measure.expert.MapSwitchMeasurement
 import io.kumquattrail.measure.idempotency.AtMostOnceMeasurement
 import io.kumquattrail.measure.limit.LimitsMeasurement
+import io.kumquattrail.measure.routing.RoutingMeasurement
+import io.kumquattrail.measure.zone.ZoneMeasurement
 
 /** Lists all measurements that the command line offers. */
 object Measurements {
@@ -11,6 +13,8 @@
             LimitsMeasurement,
             AtMostOnceMeasurement(),
             MapSwitchMeasurement(),
+            RoutingMeasurement(),
+            ZoneMeasurement(),
         )
 
     /** Finds the measurement called [name], or `null`. */
