--- a/decision/src/main/kotlin/io/kumquattrail/decision/idempotency/KeyTable.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/idempotency/KeyTable.kt
@@ -17,8 +17,8 @@
  * @property keyClockError difference that the wall clocks of any two VMs stay below.
  */
 data class KeyTableLimits(
-    val maximumEntries: Int = 100_000,
-    val maximumBytes: Long = 64L * 1024 * 1024,
+    val maximumEntries: Int = 50_000,
+    val maximumBytes: Long = 32L * 1024 * 1024,
     val keyClockError: Duration = 2.seconds,
 )
 
