Let the at-most-once measurement see key times of any caller clock

Callers' clocks now differ by up to 4 s and a restarted agent has issued keys.

StreamAssemblerSpec: doubled frames must not fill the memory; leaving out the check went unnoticed.

--- a/decision/src/test/kotlin/io/kumquattrail/decision/delivery/StreamAssemblerSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/delivery/StreamAssemblerSpec.kt
@@ -116,6 +116,15 @@
                 assembler.accept(tokens(5, 5)).shouldBeInstanceOf<AssemblyResult.Failed>()
             }
 
+            it("does not fill its memory with doubled frames") {
+                val assembler = StreamAssembler(AssemblyLimits(maximumPendingChunks = 4, maximumPendingBytes = 40))
+                assembler.accept(STARTED)
+                (0..9).forEach { assembler.accept(tokens(it, it)) }
+                ((0..9) + List(40) { 11 }).forEach {
+                    assembler.accept(tokens(it, it)).shouldBeInstanceOf<AssemblyResult.Progress>()
+                }
+            }
+
             it("never resumes with another status, which the caller could not see") {
                 val assembler = StreamAssembler()
                 listOf(STARTED, tokens(0, 0)).forEach { assembler.accept(it) }
--- a/measure/src/main/kotlin/io/kumquattrail/measure/idempotency/CallSimulation.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/idempotency/CallSimulation.kt
@@ -44,6 +44,8 @@
 private const val MAXIMUM_CALLS = 6
 private const val LOCAL_REFUSAL_SHARE = 0.15
 private const val REPEAT_AFTER_SUCCESS_SHARE = 0.3
+private const val CALLER_CLOCK_ERROR_MILLISECONDS = 4_000
+private const val KEYS_OF_OTHERS = 8
 private const val FINGERPRINT = "transfer"
 private val ORIGIN = WallTime(1_700_000_000_000)
 private val CALLER_PATIENCE = 2.seconds
@@ -112,7 +114,9 @@
             ?.single() ?: callerKey()
 
     private fun callerKey(): IdempotencyKey {
-        val time = ORIGIN + faults.clockError()
+        // Nothing bounds the error of a caller's clock, so some keys come from the past and some from the future.
+        val time =
+            ORIGIN + random.nextInt(-CALLER_CLOCK_ERROR_MILLISECONDS, CALLER_CLOCK_ERROR_MILLISECONDS).milliseconds
         return IdempotencyKey.Caller(high = (time.milliseconds shl 16) or 0x7000, low = Long.MIN_VALUE or scenario.seed)
     }
 
@@ -534,6 +538,8 @@
             // The new process may run on another VM, whose clock has another error.
             agent.clockError = faults.clockError()
             startIncarnation(agent, startedAt = wallTime(agent))
+            // The numbers of the new incarnation's keys reach those of its predecessor.
+            agent.table?.issue(KEYS_OF_OTHERS)
         }
     }
 
