Ask the owner again after a refusal that its key table has not seen

An agent that is not ready refuses before it asks its key table, so there is no ticket and the round stands; the gateway answered unknown instead of trying again within the deadline.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/delivery/RetryPolicy.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/delivery/RetryPolicy.kt
@@ -150,6 +150,9 @@
         when {
             frame.reason == RefusalReason.KEY_IN_PROGRESS -> progress.round
 
+            // The agent refused before its key table saw the attempt, so the round stands.
+            frame.reason in RETRYABLE_AT_OWNER && frame.ticketRound == null -> progress.round
+
             // A higher round was refused to another sender, whose caller may have been told `run: no`. Using the new
             // ticket without that caller's knowledge would run a request that was sent before that answer.
             frame.reason !in RETRYABLE_AT_OWNER || frame.ticketRound != progress.round + 1 -> null
--- a/decision/src/test/kotlin/io/kumquattrail/decision/delivery/CallStateSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/delivery/CallStateSpec.kt
@@ -181,6 +181,11 @@
                 }
             }
 
+            it("asks again in the same round after a refusal that the key table has not seen") {
+                val call = Driver(WorkKind.KEYED, round = 2).started()
+                call.frame(notRun(RefusalReason.NOT_READY)).sent.round shouldBe 2
+            }
+
             it("waits for an attempt in progress and otherwise answers `unknown` without the owner's word") {
                 val call = Driver(WorkKind.KEYED, round = 3).started()
                 call.frame(notRun(RefusalReason.KEY_IN_PROGRESS)).sent.round shouldBe 3
