--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/LayerPlacement.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/LayerPlacement.kt
@@ -15,6 +15,9 @@
     /** Number of slots of all ranks. Slot `s` belongs to rank `s / slotsPerRank`. */
     val slots: Int get() = experts.size
 
+    /** Number of slots that hold an expert. */
+    val filledSlots: Int get() = experts.count { it != EMPTY }
+
     /** Returns the expert in [slot], or [EMPTY]. */
     fun expertAt(slot: Int): Int = experts[slot]
 
--- /dev/null
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/placement/IncrementalPlacement.kt
@@ -0,0 +1,268 @@
+package io.kumquattrail.decision.expert.placement
+
+import io.kumquattrail.decision.expert.ExpertMap
+import io.kumquattrail.decision.expert.GroupShape
+import io.kumquattrail.decision.expert.LayerPlacement
+import io.kumquattrail.decision.expert.popularity.LayerPopularity
+import kotlinx.collections.immutable.toPersistentList
+import kotlin.math.max
+import kotlin.math.min
+import kotlin.time.DurationUnit
+
+/**
+ * Holds the settings of [IncrementalPlacement].
+ *
+ * @property targetExcess relative excess over the lower bound that planning aims at.
+ * @property minimumShareGain skew that new shares must remove before a layer is changed at all.
+ * @property minimumMoveGain skew that moves must remove, on top of new shares, before a layer's weights are moved.
+ * @property noiseWeight part of the observations' noise that is added to both minimums.
+ * @property moveValueRatio ratio of a move's value to its price from which it is worth making.
+ * @property movesPerLayer bound on the moves of one plan, averaged over the layers.
+ * @property trialsPerLayer bound on the moves that are tried out in one plan, averaged over the layers.
+ * @property candidateRanks ranks with little load that are tried for each move.
+ * @property sweeps bound on the passes in which shares are balanced.
+ */
+data class IncrementalSettings(
+    val targetExcess: Double = 0.005,
+    val minimumShareGain: Double = 0.004,
+    val minimumMoveGain: Double = 0.006,
+    val noiseWeight: Double = 0.3,
+    val moveValueRatio: Double = 2.0,
+    val movesPerLayer: Int = 12,
+    val trialsPerLayer: Int = 60,
+    val candidateRanks: Int = 4,
+    val sweeps: Int = 24,
+)
+
+/**
+ * Changes the present map by the moves that are worth their price.
+ *
+ * In each layer the shares of the present replicas are balanced first, which moves no weights. Where that leaves too much
+ * skew, replicas of the experts that overload ranks are added on ranks with little load, in the place of empty slots or of
+ * replicas that neither now nor at a recent peak serve much. Of the sequence of moves, the part is taken whose removed
+ * skew over the horizon of the popularity exceeds its price by the most.
+ */
+class IncrementalPlacement(
+    private val settings: IncrementalSettings = IncrementalSettings(),
+) : PlacementPolicy {
+    override val name: String = "incremental"
+
+    private class Budget(
+        var moves: Int,
+        var trials: Int,
+        var staging: IntArray,
+    )
+
+    private class LayerTask(
+        val layer: Int,
+        val popularity: LayerPopularity,
+        val plan: LayerPlan,
+        val bound: Double,
+        val skewBefore: Double,
+    ) {
+        val mean = popularity.tokens.sum() / plan.ranks
+        val skewAfterShares = plan.maximum / mean
+    }
+
+    override fun plan(input: PlacementInput): PlacementPlan {
+        val present = input.present
+        val popularity = input.popularity
+        if (present == null || popularity == null) return StaticContiguousPlacement().plan(input)
+        val budget =
+            Budget(
+                moves = settings.movesPerLayer * input.shape.layers,
+                trials = settings.trialsPerLayer * input.shape.layers,
+                staging = IntArray(input.shape.ranks) { input.stagingPerRank },
+            )
+        val tasks =
+            popularity.layers.indices
+                .filter { popularity.layers[it].tokens.sum() > 0 }
+                .map { task(input, it, present.layers[it], popularity.layers[it]) }
+                .sortedByDescending { it.skewAfterShares - it.bound / it.mean }
+        val layers = present.layers.toMutableList()
+        var moves = 0
+        tasks.forEach { task ->
+            val limit = min(budget.moves, MOVES_LIMIT_FACTOR * settings.movesPerLayer)
+            val placement = improve(task, input, budget, limit) ?: return@forEach
+            moves += placement.replicasMissingIn(layers[task.layer])
+            layers[task.layer] = placement
+        }
+        val map = if (moves == 0 && layers == present.layers) present else ExpertMap(layers.toPersistentList())
+        return PlacementPlan(map, moves, isChange = map !== present)
+    }
+
+    private fun task(
+        input: PlacementInput,
+        layer: Int,
+        placement: LayerPlacement,
+        popularity: LayerPopularity,
+    ): LayerTask {
+        val plan = LayerPlan.of(placement, popularity.tokens, input.rankSpeeds)
+        val mean = popularity.tokens.sum() / input.shape.ranks
+        val skewBefore = plan.maximum / mean
+        plan.balance(settings.sweeps)
+        val bound = LowerBound.maximumLoad(popularity.tokens, input.shape.slots, input.rankSpeeds)
+        return LayerTask(layer, popularity, plan, bound, skewBefore)
+    }
+
+    /** Returns a better placement for the layer, or `null` when none is worth a change. */
+    private fun improve(
+        task: LayerTask,
+        input: PlacementInput,
+        budget: Budget,
+        moveLimit: Int,
+    ): LayerPlacement? {
+        val noise = settings.noiseWeight * task.popularity.noise
+        val moved = movesWorthTheirPrice(task, input.shape, input.price, budget, moveLimit, noise)
+        if (moved != null) return moved.toPlacement()
+        val gain = task.skewBefore - task.skewAfterShares
+        return if (gain > settings.minimumShareGain + noise) task.plan.toPlacement() else null
+    }
+
+    private fun movesWorthTheirPrice(
+        task: LayerTask,
+        shape: GroupShape,
+        price: MovePrice,
+        budget: Budget,
+        moveLimit: Int,
+        noise: Double,
+    ): LayerPlan? {
+        val target = task.bound * (1 + settings.targetExcess)
+        if (task.skewAfterShares - task.bound / task.mean < settings.minimumMoveGain + noise) return null
+        val seconds = task.popularity.horizon.toDouble(DurationUnit.SECONDS)
+        val plan = task.plan.copy()
+        val stagingBefore = budget.staging.copyOf()
+        var stagingAtBest = stagingBefore
+        var best: LayerPlan? = null
+        var bestWorth = 0.0
+        var moves = 0
+        while (moves < moveLimit && budget.trials > 0) {
+            val made = move(plan, target, task.popularity, budget)
+            if (made == 0) break
+            moves += made
+            val isCheckpoint = moves % CHECKPOINT_MOVES == 0 || plan.excess(target) < task.mean * NEGLIGIBLE
+            if (!isCheckpoint && moves < moveLimit) continue
+            plan.balance(settings.sweeps)
+            val gain = task.skewAfterShares - plan.maximum / task.mean
+            val worth = price.value(gain, seconds) - settings.moveValueRatio * moves * price.cost(shape.expertBytes)
+            if (gain > settings.minimumMoveGain + noise && worth > bestWorth) {
+                best = plan.copy()
+                bestWorth = worth
+                stagingAtBest = budget.staging.copyOf()
+            }
+            if (plan.maximum <= target) break
+        }
+        budget.staging = stagingAtBest
+        val chosen = best ?: return null
+        budget.moves -= moves
+        return chosen
+    }
+
+    /** Makes the best move for the most loaded rank and returns how many expert copies it loads, or 0. */
+    private fun move(
+        plan: LayerPlan,
+        target: Double,
+        popularity: LayerPopularity,
+        budget: Budget,
+    ): Int {
+        val ranks = (0 until plan.ranks).sortedBy { plan.relativeLoad(it) }
+        val hot = ranks.last()
+        if (plan.relativeLoad(hot) <= target) return 0
+        val before = plan.excess(target)
+        val hotSlots =
+            plan
+                .slotsOf(hot)
+                .filter { plan.expertAt(it) != LayerPlacement.EMPTY && plan.flowAt(it) > 0 }
+                .sortedByDescending { plan.flowAt(it) }
+                .take(CANDIDATE_EXPERTS)
+        var bestExcess = before * (1 - SMALLEST_IMPROVEMENT)
+        var bestMove: (() -> Int)? = null
+        for (hotSlot in hotSlots) {
+            val expert = plan.expertAt(hotSlot)
+            val candidates =
+                ranks
+                    .asSequence()
+                    .filter { plan.relativeLoad(it) < target && !plan.holds(it, expert) }
+                    .mapNotNull { rank -> victim(plan, rank, popularity)?.let { slot -> slot to rank } }
+                    .filter { (slot, rank) -> plan.expertAt(slot) == LayerPlacement.EMPTY || budget.staging[rank] > 0 }
+                    .take(settings.candidateRanks)
+                    .toList()
+            for ((slot, rank) in candidates) {
+                if (budget.trials-- <= 0) break
+                val trial = plan.copy()
+                trial.replace(slot, expert)
+                trial.balanceAround(expert)
+                val excess = trial.excess(target)
+                if (excess < bestExcess) {
+                    bestExcess = excess
+                    bestMove = {
+                        if (plan.expertAt(slot) != LayerPlacement.EMPTY) budget.staging[rank] -= 1
+                        plan.replace(slot, expert)
+                        plan.balanceAround(expert)
+                        1
+                    }
+                }
+            }
+        }
+        return bestMove?.invoke() ?: exchange(plan, hot, hotSlots, ranks, target, budget)
+    }
+
+    /** Selects the slot of [rank] whose loss hurts least, or `null` when each is the only replica of its expert. */
+    private fun victim(
+        plan: LayerPlan,
+        rank: Int,
+        popularity: LayerPopularity,
+    ): Int? {
+        val slots = plan.slotsOf(rank)
+        slots.firstOrNull { plan.expertAt(it) == LayerPlacement.EMPTY }?.let { return it }
+        return slots
+            .filter { plan.replicasOf(plan.expertAt(it)) > 1 }
+            .minByOrNull { slot ->
+                val expert = plan.expertAt(slot)
+                val atPeak = popularity.peak[expert] / plan.replicasOf(expert)
+                max(plan.flowAt(slot), atPeak)
+            }
+    }
+
+    /** Exchanges an expert of the most loaded rank for a smaller one, where neither has another replica. */
+    private fun exchange(
+        plan: LayerPlan,
+        hot: Int,
+        hotSlots: List<Int>,
+        ranks: List<Int>,
+        target: Double,
+        budget: Budget,
+    ): Int {
+        if (budget.staging[hot] == 0) return 0
+        val before = plan.excess(target)
+        for (hotSlot in hotSlots.filter { plan.replicasOf(plan.expertAt(it)) == 1 }) {
+            for (rank in ranks.filter { budget.staging[it] > 0 }.take(settings.candidateRanks)) {
+                val gap = (plan.relativeLoad(hot) - plan.relativeLoad(rank)) / 2
+                val partner =
+                    plan
+                        .slotsOf(rank)
+                        .filter { plan.expertAt(it) != LayerPlacement.EMPTY && plan.replicasOf(plan.expertAt(it)) == 1 }
+                        .filter { plan.flowAt(it) < plan.flowAt(hotSlot) }
+                        .minByOrNull { kotlin.math.abs(plan.flowAt(hotSlot) - plan.flowAt(it) - gap) }
+                        ?: continue
+                if (plan.holds(rank, plan.expertAt(hotSlot)) || plan.holds(hot, plan.expertAt(partner))) continue
+                plan.exchange(hotSlot, partner)
+                if (plan.excess(target) < before * (1 - SMALLEST_IMPROVEMENT)) {
+                    budget.staging[hot] -= 1
+                    budget.staging[rank] -= 1
+                    return 2
+                }
+                plan.exchange(hotSlot, partner)
+            }
+        }
+        return 0
+    }
+
+    private companion object {
+        const val CHECKPOINT_MOVES = 4
+        const val MOVES_LIMIT_FACTOR = 4
+        const val CANDIDATE_EXPERTS = 2
+        const val NEGLIGIBLE = 1e-6
+        const val SMALLEST_IMPROVEMENT = 1e-4
+    }
+}
--- /dev/null
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/popularity/PopularityEstimator.kt
@@ -0,0 +1,226 @@
+package io.kumquattrail.decision.expert.popularity
+
+import io.kumquattrail.decision.expert.GroupShape
+import kotlin.math.abs
+import kotlin.math.exp
+import kotlin.math.ln
+import kotlin.math.max
+import kotlin.math.min
+import kotlin.math.sign
+import kotlin.math.sqrt
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Holds the settings of a [PopularityEstimator].
+ *
+ * @property windowSteps steps whose reports are added up to one observation.
+ * @property windowTime time that these steps take.
+ * @property completeCoverage share of the ranks' steps from which an observation counts as complete.
+ * @property minimumCoverage share of the ranks' steps below which an observation is discarded.
+ * @property gainMinimum weight of an observation while deviations look like noise.
+ * @property gainMaximum weight of an observation while deviations persist.
+ * @property errorGain weight of the newest error in the smoothed errors.
+ * @property trendGain weight of an observation in the estimated trend.
+ * @property trendDamping share of the trend that remains after each further window of the forecast.
+ * @property peakDecay share of a peak that remains after each window.
+ * @property horizonMinimum shortest horizon that is reported.
+ * @property horizonMaximum longest horizon that is reported.
+ */
+data class PopularitySettings(
+    val windowSteps: Long = 700,
+    val windowTime: Duration = 30.seconds,
+    val completeCoverage: Double = 0.9,
+    val minimumCoverage: Double = 0.25,
+    val gainMinimum: Double = 0.08,
+    val gainMaximum: Double = 0.9,
+    val errorGain: Double = 0.25,
+    val trendGain: Double = 0.1,
+    val trendDamping: Double = 0.9,
+    val peakDecay: Double = 0.985,
+    val horizonMinimum: Duration = 60.seconds,
+    val horizonMaximum: Duration = 3_600.seconds,
+)
+
+/**
+ * Estimates the tokens of each expert from the reports of the ranks.
+ *
+ * Reports arrive late, twice, or not at all. An observation is scaled by the share of the ranks' steps that it covers,
+ * since ranks receive similar traffic. The estimate follows the adaptive smoothing of Trigg and Leach: the weight of an
+ * observation is the ratio of the smoothed error to the smoothed absolute error, which is near 0 for noise and near 1 for
+ * a persistent change. The ratio of the previous window is used, so that a burst of one window has little weight.
+ */
+class PopularityEstimator(
+    private val shape: GroupShape,
+    private val settings: PopularitySettings = PopularitySettings(),
+) {
+    private class Window(
+        shape: GroupShape,
+    ) {
+        val tokens = List(shape.layers) { DoubleArray(shape.experts) }
+        var rankSteps = 0L
+    }
+
+    private class LayerState(
+        experts: Int,
+    ) {
+        val level = DoubleArray(experts)
+        val trend = DoubleArray(experts)
+        val error = DoubleArray(experts)
+        val absoluteError = DoubleArray(experts)
+        val gain = DoubleArray(experts)
+        val peak = DoubleArray(experts)
+        var noise = 0.0
+
+        /** Smoothed relative change per window, and the part of it that does not cancel out over time. */
+        var change = 0.0
+        val slowLevel = DoubleArray(experts)
+        var reversals = 0.0
+        val direction = DoubleArray(experts)
+        var persistentWindows = 0
+    }
+
+    private val windows = sortedMapOf<Long, Window>()
+    private val lastReportedStep = LongArray(shape.ranks) { -1 }
+    private val states = List(shape.layers) { LayerState(shape.experts) }
+    private var nextWindow = 0L
+    private var newestWindow = 0L
+
+    /** Number of windows that the estimate is built from. */
+    var observations = 0
+        private set
+
+    /** Number of reports that arrived twice or after their window had been used. */
+    var discardedReports = 0
+        private set
+
+    /** Takes a report. Returns whether it was used. */
+    fun receive(report: ExpertLoadReport): Boolean {
+        val window = report.firstStep / settings.windowSteps
+        if (window < nextWindow || report.firstStep <= lastReportedStep[report.rank]) {
+            discardedReports += 1
+            return false
+        }
+        lastReportedStep[report.rank] = report.lastStep
+        val target = windows.getOrPut(window) { Window(shape) }
+        target.rankSteps += report.lastStep - report.firstStep + 1
+        target.tokens.forEachIndexed { layer, sums ->
+            val reported = report.tokens[layer]
+            for (expert in sums.indices) sums[expert] += reported[expert]
+        }
+        newestWindow = max(newestWindow, window)
+        useWindows()
+        return true
+    }
+
+    /** Returns the estimate, or `null` before the first observation. */
+    fun popularity(): Popularity? {
+        if (observations == 0) return null
+        return Popularity(states.map { popularity(it) })
+    }
+
+    private fun useWindows() {
+        while (windows.isNotEmpty()) {
+            val number = windows.firstKey()
+            val window = checkNotNull(windows[number])
+            val coverage = window.rankSteps.toDouble() / (settings.windowSteps * shape.ranks)
+            val isClosed = number < newestWindow - 1 || coverage >= settings.completeCoverage
+            if (!isClosed) return
+            windows.remove(number)
+            nextWindow = number + 1
+            if (coverage >= settings.minimumCoverage) use(window)
+        }
+    }
+
+    private fun use(window: Window) {
+        val scale = shape.ranks.toDouble() / window.rankSteps
+        window.tokens.forEachIndexed { layer, tokens ->
+            val observed = DoubleArray(tokens.size) { tokens[it] * scale }
+            if (observations == 0) start(states[layer], observed) else update(states[layer], observed)
+        }
+        observations += 1
+    }
+
+    private fun start(
+        state: LayerState,
+        observed: DoubleArray,
+    ) {
+        observed.copyInto(state.level)
+        observed.copyInto(state.slowLevel)
+        observed.copyInto(state.peak)
+        state.gain.fill(settings.gainMaximum)
+    }
+
+    private fun update(
+        state: LayerState,
+        observed: DoubleArray,
+    ) {
+        val total = observed.sum()
+        var squaredNoise = 0.0
+        var change = 0.0
+        var net = 0.0
+        var reversals = 0.0
+        for (expert in observed.indices) {
+            val forecast = state.level[expert] + state.trend[expert]
+            val error = observed[expert] - forecast
+            val gain = state.gain[expert]
+            val before = state.level[expert]
+            val weight = settings.errorGain
+            state.error[expert] += weight * (error - state.error[expert])
+            state.absoluteError[expert] += weight * (abs(error) - state.absoluteError[expert])
+            val signal = abs(state.error[expert]) / max(state.absoluteError[expert], TINY)
+            state.gain[expert] = min(settings.gainMaximum, max(settings.gainMinimum, signal))
+            state.level[expert] = max(0.0, forecast + gain * error)
+            val step = state.level[expert] - before
+            state.trend[expert] += settings.trendGain * (step - state.trend[expert])
+            state.peak[expert] = max(state.level[expert], state.peak[expert] * settings.peakDecay)
+            squaredNoise += error * error / max(forecast, TINY)
+            change += abs(step)
+            val slowStep = SLOW_GAIN * (state.level[expert] - state.slowLevel[expert])
+            state.slowLevel[expert] += slowStep
+            net += abs(slowStep)
+            if (abs(step) > REVERSAL_THRESHOLD * before) {
+                val direction = sign(step)
+                if (state.direction[expert] * direction < 0) reversals += before
+                state.direction[expert] = direction
+            }
+        }
+        val scale = max(total, TINY)
+        state.noise += NOISE_GAIN * (sqrt(squaredNoise / scale) - state.noise)
+        state.change += NOISE_GAIN * (change / scale - state.change)
+        state.reversals += NOISE_GAIN * (reversals / scale - state.reversals)
+        val isPersistent = change / scale > max(CALM_CHANGE, state.noise * CALM_NOISE_RATIO)
+        state.persistentWindows = if (isPersistent) state.persistentWindows + 1 else 0
+    }
+
+    private fun popularity(state: LayerState): LayerPopularity {
+        val expected = DoubleArray(state.level.size) { max(0.0, state.level[it] + state.trend[it] * FORECAST_WINDOWS) }
+        val trend =
+            when {
+                state.reversals > SWING_SHARE -> PopularityTrend.SWINGING
+                state.persistentWindows == 0 -> PopularityTrend.CALM
+                state.persistentWindows <= BURST_WINDOWS -> PopularityTrend.BURST
+                else -> PopularityTrend.DRIFTING
+            }
+        // After this time the popularity has changed by as much as placement tolerates.
+        val windows = TOLERATED_CHANGE / max(state.change, TINY)
+        val horizon =
+            (settings.windowTime * min(windows, MAXIMUM_WINDOWS))
+                .coerceIn(settings.horizonMinimum, settings.horizonMaximum)
+        return LayerPopularity(expected, state.peak.copyOf(), state.noise, trend, horizon)
+    }
+
+    private companion object {
+        const val TINY = 1e-9
+        const val NOISE_GAIN = 0.1
+        const val SLOW_GAIN = 0.05
+        const val REVERSAL_THRESHOLD = 0.1
+        const val SWING_SHARE = 0.02
+        const val CALM_CHANGE = 0.002
+        const val CALM_NOISE_RATIO = 0.5
+        const val BURST_WINDOWS = 3
+        const val TOLERATED_CHANGE = 0.25
+        const val FORECAST_WINDOWS = 1.5
+        const val MAXIMUM_WINDOWS = 1e6
+    }
+}
--- a/decision/src/test/kotlin/io/kumquattrail/decision/expert/change/MapGuardSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/expert/change/MapGuardSpec.kt
@@ -132,6 +132,15 @@
             }
         }
 
+        describe("a guard that waits for the group's map") {
+            it("does not take a late permission of its predecessor for another agent, which would end it for nothing") {
+                val guard = startedGuard()
+                guard.tick(NOW + MapGuardSettings().readInterval)
+                guard.receive(report(2, 105, listOf(committed), range(1, 100L + WINDOW - 1, committed)), NOW)
+                guard.isSuperseded shouldBe false
+            }
+        }
+
         describe("a guard that promised a step") {
             it("permits no step from the promised one on, which another rank may run with the other map") {
                 val guard = promisedGuard()
--- a/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
@@ -1,12 +1,14 @@
 package io.kumquattrail.measure
 
 import io.kumquattrail.measure.expert.MapSwitchMeasurement
+import io.kumquattrail.measure.expert.StepSkewMeasurement
 
 /** Lists all measurements that the command line offers. */
 object Measurements {
     val all: List<Measurement> =
         listOf(
             MapSwitchMeasurement(),
+            StepSkewMeasurement(),
         )
 
     /** Finds the measurement called [name], or `null`. */
--- /dev/null
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/expert/PlanTime.kt
@@ -0,0 +1,40 @@
+package io.kumquattrail.measure.expert
+
+import io.kumquattrail.decision.expert.GroupShape
+import io.kumquattrail.decision.expert.placement.PlacementInput
+import io.kumquattrail.decision.expert.placement.PlacementPolicy
+import io.kumquattrail.decision.expert.placement.StaticContiguousPlacement
+import io.kumquattrail.decision.expert.popularity.LayerPopularity
+import io.kumquattrail.decision.expert.popularity.Popularity
+import kotlin.time.DurationUnit
+import kotlin.time.measureTime
+
+/** Measures the time of a plan for all layers of a group, on the calling thread. */
+internal object PlanTime {
+    private const val WARM_UP_PLANS = 12
+    private const val MEASURED_PLANS = 9
+    private const val TOKENS_PER_RANK = 512.0
+    private const val LAYER_SEED_STRIDE = 77_003L
+
+    /** Returns the worst time of several successive plans on drifting traffic, in milliseconds. */
+    fun measure(
+        policy: PlacementPolicy,
+        shape: GroupShape,
+        seed: Long,
+    ): Double {
+        val traces =
+            List(shape.layers) { layer ->
+                val traceSeed = seed * LAYER_SEED_STRIDE + layer
+                ExpertTrace(ExpertTraceKind.DRIFTING, shape.experts, TOKENS_PER_RANK * shape.ranks, traceSeed)
+            }
+        var present = StaticContiguousPlacement().plan(PlacementInput(shape, present = null, popularity = null)).map
+        var worst = 0.0
+        repeat(WARM_UP_PLANS + MEASURED_PLANS) { round ->
+            val popularity = Popularity(traces.map { LayerPopularity(it.next()) })
+            val input = PlacementInput(shape, present, popularity)
+            val time = measureTime { present = policy.plan(input).map }
+            if (round >= WARM_UP_PLANS) worst = maxOf(worst, time.toDouble(DurationUnit.MILLISECONDS))
+        }
+        return worst
+    }
+}
