Price moves by the link time they take and bound what noise adds to the minimums

Cause: a move was priced as if the group stood still while it loads, and forecast errors on swinging traffic counted as noise, so planning waited.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/placement/IncrementalPlacement.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/placement/IncrementalPlacement.kt
@@ -4,6 +4,7 @@
 import io.kumquattrail.decision.expert.GroupShape
 import io.kumquattrail.decision.expert.LayerPlacement
 import io.kumquattrail.decision.expert.popularity.LayerPopularity
+import io.kumquattrail.decision.expert.popularity.PopularityTrend
 import kotlinx.collections.immutable.toPersistentList
 import kotlin.math.max
 import kotlin.math.min
@@ -16,6 +17,8 @@
  * @property minimumShareGain skew that new shares must remove before a layer is changed at all.
  * @property minimumMoveGain skew that moves must remove, on top of new shares, before a layer's weights are moved.
  * @property noiseWeight part of the observations' noise that is added to both minimums.
+ * @property calmNoiseWeight the same while popularity is calm.
+ * @property noiseGainMaximum bound on what noise adds to the minimums; errors of the forecast count as noise as well.
  * @property moveValueRatio ratio of a move's value to its price from which it is worth making.
  * @property movesPerLayer bound on the moves of one plan, averaged over the layers.
  * @property trialsPerLayer bound on the moves that are tried out in one plan, averaged over the layers.
@@ -27,6 +30,8 @@
     val minimumShareGain: Double = 0.004,
     val minimumMoveGain: Double = 0.006,
     val noiseWeight: Double = 0.3,
+    val calmNoiseWeight: Double = 3.0,
+    val noiseGainMaximum: Double = 0.02,
     val moveValueRatio: Double = 2.0,
     val movesPerLayer: Int = 12,
     val trialsPerLayer: Int = 60,
@@ -112,7 +117,16 @@
         budget: Budget,
         moveLimit: Int,
     ): LayerPlacement? {
-        val noise = settings.noiseWeight * task.popularity.noise
+        // While popularity is calm, all that is left to balance is noise.
+        val weight =
+            if (task.popularity.trend ==
+                PopularityTrend.CALM
+            ) {
+                settings.calmNoiseWeight
+            } else {
+                settings.noiseWeight
+            }
+        val noise = min(weight * task.popularity.noise, settings.noiseGainMaximum)
         val moved = movesWorthTheirPrice(task, input.shape, input.price, budget, moveLimit, noise)
         if (moved != null) return moved.toPlacement()
         val gain = task.skewBefore - task.skewAfterShares
@@ -165,46 +179,42 @@
         popularity: LayerPopularity,
         budget: Budget,
     ): Int {
-        val ranks = (0 until plan.ranks).sortedBy { plan.relativeLoad(it) }
+        val ranks = plan.ranksByLoad()
         val hot = ranks.last()
         if (plan.relativeLoad(hot) <= target) return 0
-        val before = plan.excess(target)
         val hotSlots =
             plan
                 .slotsOf(hot)
                 .filter { plan.expertAt(it) != LayerPlacement.EMPTY && plan.flowAt(it) > 0 }
                 .sortedByDescending { plan.flowAt(it) }
                 .take(CANDIDATE_EXPERTS)
-        var bestExcess = before * (1 - SMALLEST_IMPROVEMENT)
-        var bestMove: (() -> Int)? = null
+        var bestExcess = plan.excess(target) * (1 - SMALLEST_IMPROVEMENT)
+        var bestSlot = -1
+        var bestExpert = LayerPlacement.EMPTY
         for (hotSlot in hotSlots) {
             val expert = plan.expertAt(hotSlot)
-            val candidates =
-                ranks
-                    .asSequence()
-                    .filter { plan.relativeLoad(it) < target && !plan.holds(it, expert) }
-                    .mapNotNull { rank -> victim(plan, rank, popularity)?.let { slot -> slot to rank } }
-                    .filter { (slot, rank) -> plan.expertAt(slot) == LayerPlacement.EMPTY || budget.staging[rank] > 0 }
-                    .take(settings.candidateRanks)
-                    .toList()
-            for ((slot, rank) in candidates) {
-                if (budget.trials-- <= 0) break
-                val trial = plan.copy()
-                trial.replace(slot, expert)
-                trial.balanceAround(expert)
-                val excess = trial.excess(target)
+            var tried = 0
+            for (rank in ranks) {
+                if (tried == settings.candidateRanks || plan.relativeLoad(rank) >= target) break
+                if (plan.holds(rank, expert)) continue
+                val slot = victim(plan, rank, popularity) ?: continue
+                if (plan.expertAt(slot) != LayerPlacement.EMPTY && budget.staging[rank] == 0) continue
+                if (budget.trials == 0) break
+                budget.trials -= 1
+                tried += 1
+                val excess = plan.excessWith(slot, expert, target)
                 if (excess < bestExcess) {
                     bestExcess = excess
-                    bestMove = {
-                        if (plan.expertAt(slot) != LayerPlacement.EMPTY) budget.staging[rank] -= 1
-                        plan.replace(slot, expert)
-                        plan.balanceAround(expert)
-                        1
-                    }
+                    bestSlot = slot
+                    bestExpert = expert
                 }
             }
         }
-        return bestMove?.invoke() ?: exchange(plan, hot, hotSlots, ranks, target, budget)
+        if (bestSlot < 0) return exchange(plan, hot, hotSlots, ranks, target, budget)
+        if (plan.expertAt(bestSlot) != LayerPlacement.EMPTY) budget.staging[plan.rankOf(bestSlot)] -= 1
+        plan.replace(bestSlot, bestExpert)
+        plan.balanceAround(bestExpert)
+        return 1
     }
 
     /** Selects the slot of [rank] whose loss hurts least, or `null` when each is the only replica of its expert. */
@@ -213,15 +223,19 @@
         rank: Int,
         popularity: LayerPopularity,
     ): Int? {
-        val slots = plan.slotsOf(rank)
-        slots.firstOrNull { plan.expertAt(it) == LayerPlacement.EMPTY }?.let { return it }
-        return slots
-            .filter { plan.replicasOf(plan.expertAt(it)) > 1 }
-            .minByOrNull { slot ->
-                val expert = plan.expertAt(slot)
-                val atPeak = popularity.peak[expert] / plan.replicasOf(expert)
-                max(plan.flowAt(slot), atPeak)
+        var selected: Int? = null
+        var least = Double.MAX_VALUE
+        for (slot in plan.slotsOf(rank)) {
+            val expert = plan.expertAt(slot)
+            if (expert == LayerPlacement.EMPTY) return slot
+            if (plan.replicasOf(expert) == 1) continue
+            val loss = max(plan.flowAt(slot), popularity.peak[expert] / plan.replicasOf(expert))
+            if (loss < least) {
+                least = loss
+                selected = slot
             }
+        }
+        return selected
     }
 
     /** Exchanges an expert of the most loaded rank for a smaller one, where neither has another replica. */
@@ -229,7 +243,7 @@
         plan: LayerPlan,
         hot: Int,
         hotSlots: List<Int>,
-        ranks: List<Int>,
+        ranks: IntArray,
         target: Double,
         budget: Budget,
     ): Int {
--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/placement/LayerPlan.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/placement/LayerPlan.kt
@@ -21,6 +21,9 @@
     private val replicaCounts: IntArray,
     private val order: IntArray,
 ) {
+    private val savedFlows = DoubleArray(flows.size)
+    private val savedLoads = DoubleArray(loads.size)
+
     val ranks: Int get() = loads.size
 
     /** Highest `load / speed` of all ranks. */
@@ -39,12 +42,46 @@
 
     fun relativeLoad(rank: Int): Double = loads[rank] / speeds[rank]
 
+    fun rankOf(slot: Int): Int = slot / slotsPerRank
+
     fun slotsOf(rank: Int): IntRange = rank * slotsPerRank until (rank + 1) * slotsPerRank
 
     fun holds(
         rank: Int,
         expert: Int,
-    ): Boolean = slotsOf(rank).any { experts[it] == expert }
+    ): Boolean {
+        for (slot in rank * slotsPerRank until (rank + 1) * slotsPerRank) if (experts[slot] == expert) return true
+        return false
+    }
+
+    /** Lists all ranks by ascending relative load. */
+    fun ranksByLoad(): IntArray {
+        // Non-negative floats sort like their bits, so that ranks are sorted without boxing.
+        val keys =
+            LongArray(ranks) { (relativeLoad(it).toFloat().toRawBits().toLong() shl Int.SIZE_BITS) or it.toLong() }
+        keys.sort()
+        return IntArray(ranks) { keys[it].toInt() }
+    }
+
+    /** Returns [excess] as it would be with [expert] in [slot], with shares balanced around it only. */
+    fun excessWith(
+        slot: Int,
+        expert: Int,
+        target: Double,
+    ): Double {
+        flows.copyInto(savedFlows)
+        loads.copyInto(savedLoads)
+        val replaced = experts[slot]
+        replace(slot, expert)
+        balanceAround(expert)
+        val result = excess(target)
+        removeReplica(expert, slot)
+        experts[slot] = replaced
+        if (replaced != LayerPlacement.EMPTY) addReplica(replaced, slot)
+        savedFlows.copyInto(flows)
+        savedLoads.copyInto(loads)
+        return result
+    }
 
     /** Adds up by how much ranks exceed [target], in tokens. */
     fun excess(target: Double): Double {
--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/placement/PlacementPolicy.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/placement/PlacementPolicy.kt
@@ -51,7 +51,7 @@
  * @property secondsPerStep time per step.
  */
 data class MovePrice(
-    val secondsPerByte: Double = 1e-10,
+    val secondsPerByte: Double = 2e-11,
     val layerSecondsPerStep: Double = 340e-6,
     val secondsPerStep: Double = 0.041,
 ) {
--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/popularity/PopularityEstimator.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/popularity/PopularityEstimator.kt
@@ -2,8 +2,6 @@
 
 import io.kumquattrail.decision.expert.GroupShape
 import kotlin.math.abs
-import kotlin.math.exp
-import kotlin.math.ln
 import kotlin.math.max
 import kotlin.math.min
 import kotlin.math.sign
@@ -70,10 +68,13 @@
         val absoluteError = DoubleArray(experts)
         val gain = DoubleArray(experts)
         val peak = DoubleArray(experts)
-        var noise = 0.0
+        var noise = INITIAL_NOISE
 
-        /** Smoothed relative change per window, and the part of it that does not cancel out over time. */
+        /** Smoothed relative change per window. */
         var change = 0.0
+
+        /** Relative distance of the level from its long-term value. */
+        var displacement = 0.0
         val slowLevel = DoubleArray(experts)
         var reversals = 0.0
         val direction = DoubleArray(experts)
@@ -158,7 +159,7 @@
         val total = observed.sum()
         var squaredNoise = 0.0
         var change = 0.0
-        var net = 0.0
+        var displacement = 0.0
         var reversals = 0.0
         for (expert in observed.indices) {
             val forecast = state.level[expert] + state.trend[expert]
@@ -176,9 +177,8 @@
             state.peak[expert] = max(state.level[expert], state.peak[expert] * settings.peakDecay)
             squaredNoise += error * error / max(forecast, TINY)
             change += abs(step)
-            val slowStep = SLOW_GAIN * (state.level[expert] - state.slowLevel[expert])
-            state.slowLevel[expert] += slowStep
-            net += abs(slowStep)
+            state.slowLevel[expert] += SLOW_GAIN * (state.level[expert] - state.slowLevel[expert])
+            displacement += abs(state.level[expert] - state.slowLevel[expert])
             if (abs(step) > REVERSAL_THRESHOLD * before) {
                 val direction = sign(step)
                 if (state.direction[expert] * direction < 0) reversals += before
@@ -189,7 +189,8 @@
         state.noise += NOISE_GAIN * (sqrt(squaredNoise / scale) - state.noise)
         state.change += NOISE_GAIN * (change / scale - state.change)
         state.reversals += NOISE_GAIN * (reversals / scale - state.reversals)
-        val isPersistent = change / scale > max(CALM_CHANGE, state.noise * CALM_NOISE_RATIO)
+        state.displacement = displacement / scale
+        val isPersistent = state.displacement > CALM_DISPLACEMENT + state.noise
         state.persistentWindows = if (isPersistent) state.persistentWindows + 1 else 0
     }
 
@@ -213,11 +214,11 @@
     private companion object {
         const val TINY = 1e-9
         const val NOISE_GAIN = 0.1
+        const val INITIAL_NOISE = 0.02
         const val SLOW_GAIN = 0.05
         const val REVERSAL_THRESHOLD = 0.1
         const val SWING_SHARE = 0.02
-        const val CALM_CHANGE = 0.002
-        const val CALM_NOISE_RATIO = 0.5
+        const val CALM_DISPLACEMENT = 0.003
         const val BURST_WINDOWS = 3
         const val TOLERATED_CHANGE = 0.25
         const val FORECAST_WINDOWS = 1.5
