--- a/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
@@ -5,6 +5,7 @@
 import io.kumquattrail.measure.limit.LimitsMeasurement
 import io.kumquattrail.measure.routing.RoutingMeasurement
 import io.kumquattrail.measure.zone.ZoneMeasurement
+import io.kumquattrail.measure.expert.StepSkewMeasurement
 
 /** Lists all measurements that the command line offers. */
 object Measurements {
@@ -15,6 +16,7 @@
             MapSwitchMeasurement(),
             RoutingMeasurement(),
             ZoneMeasurement(),
+            StepSkewMeasurement(),
         )
 
     /** Finds the measurement called [name], or `null`. */
