--- a/agent/src/main/kotlin/io/kumquattrail/agent/AgentProcess.kt
+++ b/agent/src/main/kotlin/io/kumquattrail/agent/AgentProcess.kt
@@ -236,4 +236,5 @@
         ColdSign.SERVER_INCARNATION_CHANGED -> ColdCause.SERVER_RESTARTED
         ColdSign.CONNECTION_RESET -> ColdCause.CONNECTION_RESET
         ColdSign.LATE_FIRST_TOKEN -> ColdCause.LATE_FIRST_TOKEN
+        ColdSign.SILENT_SERVER -> ColdCause.SILENT_SERVER
     }
--- a/command/src/main/kotlin/io/kumquattrail/command/MeasureCommand.kt
+++ b/command/src/main/kotlin/io/kumquattrail/command/MeasureCommand.kt
@@ -9,6 +9,7 @@
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.int
 import com.github.ajalt.clikt.parameters.types.long
+import io.kumquattrail.demo.OverheadMeasurement
 import io.kumquattrail.measure.Measurement
 import io.kumquattrail.measure.MeasurementOptions
 import io.kumquattrail.measure.Measurements
@@ -37,6 +38,6 @@
     }
 
     private companion object {
-        val ALL: List<Measurement> = Measurements.all
+        val ALL: List<Measurement> = Measurements.all + OverheadMeasurement()
     }
 }
--- a/decision/src/main/kotlin/io/kumquattrail/decision/timeline/TimelineEvent.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/timeline/TimelineEvent.kt
@@ -314,6 +314,7 @@
     SERVER_RESTARTED("server_restarted"),
     CONNECTION_RESET("connection_reset"),
     LATE_FIRST_TOKEN("late_first_token"),
+    SILENT_SERVER("silent_server"),
 }
 
 /** Lists the reasons for which a process or server takes no new work. */
--- a/demo/src/main/kotlin/io/kumquattrail/demo/DemoLoad.kt
+++ b/demo/src/main/kotlin/io/kumquattrail/demo/DemoLoad.kt
@@ -74,14 +74,17 @@
         if (text == ModelEngine.expectedText(prompt, TOKENS)) counters.whole.incrementAndGet() else torn()
     }
 
-    // A caller that got no answer sends the posting again, through the other gateway and with the same key.
+    // A caller that got no answer sends the posting again through the other gateway, with the same key and the ticket of
+    // the last refusal.
     private suspend fun post(index: Int) {
         val reference = "posting-$index"
         val key = versionSevenKey()
         val body = JsonObject().put("reference", reference).put("amount", index)
+        var ticket: String? = null
         repeat(POSTING_SENDS) { sending ->
             val port = ports[(index + sending) % ports.size]
-            val response = request(index, "/services/${LocalFleet.LEDGER}/postings", body, key, port)
+            val response = request(index, "/services/${LocalFleet.LEDGER}/postings", body, key, port, ticket)
+            ticket = response?.getHeader("Idempotency-Ticket") ?: ticket
             when (response?.statusCode()) {
                 HTTP_CREATED -> {
                     counters.whole.incrementAndGet()
@@ -106,6 +109,7 @@
         body: JsonObject,
         key: String?,
         port: Int,
+        ticket: String? = null,
     ): HttpResponse<io.vertx.core.buffer.Buffer>? {
         val organisation = ORGANISATIONS[index % ORGANISATIONS.size]
         val request =
@@ -115,6 +119,7 @@
                 .putHeader("Request-Timeout", "10")
                 .`as`(BodyCodec.buffer())
         key?.let { request.putHeader("Idempotency-Key", it) }
+        ticket?.let { request.putHeader("Idempotency-Ticket", it) }
         return try {
             request.sendJsonObject(body).coAwait()
         } catch (_: IOException) {
@@ -163,7 +168,8 @@
         const val LARGEST_POOL = 256
         const val MIX = 4
         const val TOKENS = 24
-        const val POSTING_SENDS = 3
+        const val POSTING_SENDS = 4
+        val RESEND_PAUSE = 250.milliseconds
         const val HTTP_OK = 200
         const val HTTP_CREATED = 201
         const val SHORTEST_PAUSE_MILLISECONDS = 5L
--- a/gateway/src/main/kotlin/io/kumquattrail/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/kumquattrail/gateway/GatewayProcess.kt
@@ -14,7 +14,6 @@
 import io.kumquattrail.gateway.call.AttemptSender
 import io.kumquattrail.gateway.call.CallEnd
 import io.kumquattrail.gateway.call.CallRunner
-import io.kumquattrail.gateway.call.InFlightSelection
 import io.kumquattrail.gateway.call.ServerSelection
 import io.kumquattrail.gateway.http.CallerServer
 import io.kumquattrail.gateway.http.HttpAnswerSink
@@ -84,7 +83,7 @@
             metrics = metrics,
             timeline = timeline,
         )
-    private val selection: ServerSelection = InFlightSelection(configuration)
+    private val selection = ServerSelection.byTokenCost(configuration, clock, settings.node.zone, random)
     private val budget = RetryBudget()
     private val sender =
         AttemptSender(settings.node.rpc.toString(), configuration, selection, channels, clock, metrics, timeline)
--- a/gateway/src/main/kotlin/io/kumquattrail/gateway/call/AttemptSender.kt
+++ b/gateway/src/main/kotlin/io/kumquattrail/gateway/call/AttemptSender.kt
@@ -7,8 +7,8 @@
 import io.kumquattrail.decision.delivery.CallEvent
 import io.kumquattrail.decision.delivery.FrameContent
 import io.kumquattrail.decision.delivery.WorkKind
-import io.kumquattrail.decision.identity.ServerName
 import io.kumquattrail.decision.record.BackendServerRecord
+import io.kumquattrail.decision.routing.AssignmentEnd
 import io.kumquattrail.decision.time.MonotonicTime
 import io.kumquattrail.decision.timeline.TimelineEvent
 import io.kumquattrail.gateway.request.ClassifiedRequest
@@ -22,7 +22,6 @@
 import io.kumquattrail.protocol.v1.ExecuteRequest
 import io.kumquattrail.protocol.v1.ReleaseKeyRequest
 import io.kumquattrail.protocol.v1.WorkServiceGrpcKt
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.delay
 import java.util.concurrent.TimeUnit
 
@@ -50,15 +49,14 @@
             report(CallEvent.NoServer(attempt.attempt))
             return
         }
-        report(CallEvent.ServerChosen(attempt.attempt, server.name))
-        recordRouting(requestId, request, attempt, server)
-        selection.started(server.name, request)
-        var end = AttemptEnd.ABANDONED
+        var end: AssignmentEnd = AssignmentEnd.Cancelled
         try {
+            report(CallEvent.ServerChosen(attempt.attempt, server.record.name))
+            recordRouting(requestId, request, attempt, server.record)
             end = exchange(requestId, request, attempt, server, deadline, report)
         } finally {
-            selection.ended(server.name, request, end)
-            metrics.attempts.labelValues(request.identified.request.service.value, end.name.lowercase()).inc()
+            selection.ended(server, end)
+            metrics.attempts.labelValues(server.record.service.value, label(end)).inc()
         }
     }
 
@@ -92,10 +90,11 @@
     private fun server(
         request: ClassifiedRequest,
         attempt: CallAction.SendAttempt,
-    ): BackendServerRecord? {
+    ): SelectedServer? {
         val owner = attempt.owner ?: return selection.choose(request, attempt.excluded)
         return configuration.current.value.records
             .server(owner)
+            ?.let { SelectedServer(it, assignment = null) }
     }
 
     private fun recordRouting(
@@ -124,55 +123,49 @@
         requestId: String,
         request: ClassifiedRequest,
         attempt: CallAction.SendAttempt,
-        server: BackendServerRecord,
+        server: SelectedServer,
         deadline: MonotonicTime,
         report: suspend (CallEvent) -> Unit,
-    ): AttemptEnd {
+    ): AssignmentEnd {
         val tracer = SendTracer()
         var last: FrameContent? = null
         var firstToken = false
         try {
             val message = message(requestId, request, attempt, deadline)
             val options = CallOptions.DEFAULT.withStreamTracerFactory(tracer)
-            stub(server, options).execute(message).collect { received ->
-                if (received.hasLoad()) observe(server.name, received.load)
+            stub(server.record, options).execute(message).collect { received ->
+                if (received.hasLoad()) received.load.toLoadReport()?.let { selection.observed(server.record, it) }
                 val frame = received.toFrame() ?: return@collect
                 last = frame.content
                 if (!firstToken && frame.content is FrameContent.Chunk) {
                     firstToken = true
-                    selection.firstToken(server.name, request)
+                    selection.firstToken(server)
                 }
                 report(CallEvent.FrameArrived(frame))
             }
-        } catch (exception: StatusException) {
-            val event =
-                if (tracer.sent) {
-                    CallEvent.ConnectionLost(
-                        attempt.attempt,
-                    )
-                } else {
-                    CallEvent.ConnectionFailed(attempt.attempt)
-                }
-            report(event)
-            return if (tracer.sent) AttemptEnd.FAILED else AttemptEnd.UNREACHABLE
+        } catch (_: StatusException) {
+            val number = attempt.attempt
+            report(if (tracer.sent) CallEvent.ConnectionLost(number) else CallEvent.ConnectionFailed(number))
+            return AssignmentEnd.Broken
         }
         report(CallEvent.ConnectionLost(attempt.attempt))
         return end(last)
     }
 
-    private fun end(last: FrameContent?): AttemptEnd =
+    private fun end(last: FrameContent?): AssignmentEnd =
         when (last) {
-            is FrameContent.Finished -> AttemptEnd.COMPLETED
-            is FrameContent.NotRun -> AttemptEnd.NOT_RUN
-            is FrameContent.Broken, is FrameContent.Chunk, is FrameContent.Started, null -> AttemptEnd.FAILED
+            is FrameContent.Finished -> AssignmentEnd.Completed
+            is FrameContent.NotRun -> AssignmentEnd.NotRun(last.retryAfter)
+            is FrameContent.Broken, is FrameContent.Chunk, is FrameContent.Started, null -> AssignmentEnd.Broken
         }
 
-    private fun observe(
-        server: ServerName,
-        message: io.kumquattrail.protocol.v1.LoadReport,
-    ) {
-        message.toLoadReport()?.let { selection.observed(server, it) }
-    }
+    private fun label(end: AssignmentEnd): String =
+        when (end) {
+            AssignmentEnd.Completed -> "completed"
+            is AssignmentEnd.NotRun -> "not_run"
+            AssignmentEnd.Cancelled -> "cancelled"
+            AssignmentEnd.Broken -> "broken"
+        }
 
     private fun stub(
         server: BackendServerRecord,
