--- a/measure/src/main/kotlin/io/kumquattrail/measure/idempotency/CallSimulation.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/idempotency/CallSimulation.kt
@@ -44,6 +44,9 @@
 private const val MAXIMUM_CALLS = 6
 private const val LOCAL_REFUSAL_SHARE = 0.15
 private const val REPEAT_AFTER_SUCCESS_SHARE = 0.3
+private const val NEW_AGENT_SHARE = 0.2
+private const val NEW_AGENT_MILLISECONDS = 8_000
+private const val WRONG_CALLER_CLOCK_SHARE = 0.25
 private const val CALLER_CLOCK_ERROR_MILLISECONDS = 4_000
 private const val KEYS_OF_OTHERS = 8
 private const val FINGERPRINT = "transfer"
@@ -82,15 +85,17 @@
     private var ticket: Ticket? = null
     private var refusedUnknown = 0
     private var refusedNotRun = 0
+    private var answered = false
 
     init {
         agents.forEach { agent ->
             agent.clockError = faults.clockError()
-            // Half of the agents have started just before the call, when key times are most uncertain.
-            val age = if (random.nextBoolean()) 1.hours else random.nextInt(0, 8_000).milliseconds
+            // Key times are most uncertain just after an agent's start.
+            val isNew = random.nextDouble() < NEW_AGENT_SHARE
+            val age = if (isNew) random.nextInt(0, NEW_AGENT_MILLISECONDS).milliseconds else 1.hours
             startIncarnation(agent, startedAt = wallTime(agent) - age)
         }
-        key = if (scenario.issuedKey) issuedKey() else callerKey()
+        key = if (scenario.issuedKey && policy.issuesKeys) issuedKey() else callerKey()
     }
 
     /** Runs the scenario until no message is under way. */
@@ -103,6 +108,7 @@
             falseNotRun = ledger.falseNotRunCount,
             refusedUnknown = refusedUnknown,
             refusedNotRun = refusedNotRun,
+            answered = answered,
         )
     }
 
@@ -115,8 +121,13 @@
 
     private fun callerKey(): IdempotencyKey {
         // Nothing bounds the error of a caller's clock, so some keys come from the past and some from the future.
-        val time =
-            ORIGIN + random.nextInt(-CALLER_CLOCK_ERROR_MILLISECONDS, CALLER_CLOCK_ERROR_MILLISECONDS).milliseconds
+        val error =
+            if (random.nextDouble() < WRONG_CALLER_CLOCK_SHARE) {
+                random.nextInt(-CALLER_CLOCK_ERROR_MILLISECONDS, CALLER_CLOCK_ERROR_MILLISECONDS).milliseconds
+            } else {
+                faults.clockError()
+            }
+        val time = ORIGIN + error
         return IdempotencyKey.Caller(high = (time.milliseconds shl 16) or 0x7000, low = Long.MIN_VALUE or scenario.seed)
     }
 
@@ -154,7 +165,7 @@
         openCall = null
         when (refusal?.runState) {
             null -> {
-                Unit
+                answered = true
             }
 
             RunState.UNKNOWN -> {
--- a/measure/src/main/kotlin/io/kumquattrail/measure/idempotency/DeliveryPolicy.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/idempotency/DeliveryPolicy.kt
@@ -21,6 +21,9 @@
     /** How a gateway treats a call with a key. */
     val workKind: WorkKind
 
+    /** Whether agents issue keys; callers create all keys otherwise. */
+    val issuesKeys: Boolean
+
     /** Creates the table of an agent, or returns `null` when the agent runs everything that arrives. */
     fun keyTable(
         server: ServerName,
@@ -48,6 +51,7 @@
 object KeyTableDelivery : DeliveryPolicy {
     override val name = "key_table"
     override val workKind = WorkKind.KEYED
+    override val issuesKeys = true
 
     override fun keyTable(
         server: ServerName,
@@ -67,6 +71,7 @@
 object HashOverKnownServers : DeliveryPolicy {
     override val name = "hash_over_known_servers"
     override val workKind = WorkKind.KEYED
+    override val issuesKeys = false
 
     override fun keyTable(
         server: ServerName,
@@ -96,6 +101,7 @@
 object ForwardWithRetry : DeliveryPolicy {
     override val name = "forward_with_retry"
     override val workKind = WorkKind.REPEATABLE
+    override val issuesKeys = false
 
     override fun keyTable(
         server: ServerName,
--- a/measure/src/main/kotlin/io/kumquattrail/measure/idempotency/Scenario.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/idempotency/Scenario.kt
@@ -20,6 +20,7 @@
  *
  * @property calls requests that the caller sent.
  * @property runs runs that the ledger counted.
+ * @property answered whether the caller has received the operation's answer.
  * @property falseNotRun `run: no` answers that were not true.
  */
 data class ScenarioResult(
@@ -28,4 +29,5 @@
     val falseNotRun: Int,
     val refusedUnknown: Int,
     val refusedNotRun: Int,
+    val answered: Boolean,
 )
