Keep the output of a failing attempt and run each scenario cell three times

StreamAssembler counted tokens as written whose output it dropped when a later chunk of the same step failed the attempt; the resumed stream then left them out. Bytes without an offset among tokens kept no place; they now stay in order and end the possibility to resume. Both specs fail without the fix.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/delivery/CallState.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/delivery/CallState.kt
@@ -212,7 +212,7 @@
     ): List<CallAction> =
         when (result) {
             is AssemblyResult.Failed -> {
-                cancellation() + attemptLost(result.detail, now)
+                result.output.map { CallAction.Write(it) } + cancellation() + attemptLost(result.detail, now)
             }
 
             is AssemblyResult.Progress -> {
--- a/decision/src/main/kotlin/io/kumquattrail/decision/delivery/Frame.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/delivery/Frame.kt
@@ -43,6 +43,7 @@
      *
      * @property sequence position among the attempt's chunks, from 0.
      * @property tokenOffset index of the chunk's first token in the whole answer; `null` for bytes of a plain answer.
+     *   A stream with such bytes cannot be resumed after them.
      * @property tokenCount number of tokens in the chunk; 0 for bytes that accompany the tokens.
      */
     class Chunk(
--- a/decision/src/main/kotlin/io/kumquattrail/decision/delivery/StreamAssembler.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/delivery/StreamAssembler.kt
@@ -28,9 +28,10 @@
         val complete: Boolean = false,
     ) : AssemblyResult
 
-    /** The attempt cannot yield a correct answer, for example because a frame was lost. */
-    data class Failed(
+    /** The attempt cannot yield a correct answer, for example because a frame was lost; [output] is still correct. */
+    class Failed(
         val detail: String,
+        val output: List<Output> = emptyList(),
     ) : AssemblyResult
 }
 
@@ -121,11 +122,13 @@
             nextSequence++
             pendingBytes -= chunk.data.size
             if (!append(chunk, output)) {
-                return AssemblyResult.Failed("Token ${chunk.tokenOffset} does not follow token ${writtenTokens - 1}.")
+                val detail = "Token ${chunk.tokenOffset} does not follow token ${writtenTokens - 1}."
+                return AssemblyResult.Failed(detail, output)
             }
         }
         val complete = chunks?.let { nextSequence >= it } ?: false
-        if (complete || heldBytes > limits.heldBytes) releaseHeld(output, complete)
+        if (complete || heldBytes > limits.heldBytes) releaseHeld(output)
+        if (complete) writeHead(output)
         return AssemblyResult.Progress(output = output, complete = complete)
     }
 
@@ -136,8 +139,9 @@
     ): Boolean {
         val offset = chunk.tokenOffset
         when {
-            offset == null && wrotePlainBytes -> {
+            offset == null && hasOutput -> {
                 output += Output.Body(chunk.data)
+                wrotePlainBytes = true
             }
 
             offset == null -> {
@@ -146,6 +150,7 @@
             }
 
             offset == writtenTokens -> {
+                releaseHeld(output)
                 writeHead(output)
                 output += Output.Body(chunk.data)
                 writtenTokens += chunk.tokenCount
@@ -159,18 +164,13 @@
         return true
     }
 
-    private fun releaseHeld(
-        output: MutableList<Output>,
-        complete: Boolean,
-    ) {
-        if (held.isNotEmpty()) {
-            writeHead(output)
-            held.mapTo(output) { Output.Body(it) }
-            held.clear()
-            heldBytes = 0
-            wrotePlainBytes = true
-        }
-        if (complete) writeHead(output)
+    private fun releaseHeld(output: MutableList<Output>) {
+        if (held.isEmpty()) return
+        writeHead(output)
+        held.mapTo(output) { Output.Body(it) }
+        held.clear()
+        heldBytes = 0
+        wrotePlainBytes = true
     }
 
     private fun writeHead(output: MutableList<Output>) {
--- a/decision/src/test/kotlin/io/kumquattrail/decision/delivery/StreamAssemblerSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/delivery/StreamAssemblerSpec.kt
@@ -23,24 +23,20 @@
     var text = ""
     var heads = 0
     var complete = false
-    var failed = false
 
     fun take(result: AssemblyResult) {
-        when (result) {
-            is AssemblyResult.Failed -> {
-                failed = true
+        val output =
+            when (result) {
+                is AssemblyResult.Failed -> result.output
+                is AssemblyResult.Progress -> result.output
             }
-
-            is AssemblyResult.Progress -> {
-                result.output.forEach {
-                    when (it) {
-                        is Output.Head -> heads++
-                        is Output.Body -> text += it.data.decodeToString()
-                    }
-                }
-                complete = result.complete
+        output.forEach {
+            when (it) {
+                is Output.Head -> heads++
+                is Output.Body -> text += it.data.decodeToString()
             }
         }
+        complete = result is AssemblyResult.Progress && result.complete
     }
 }
 
@@ -116,6 +112,24 @@
                 assembler.accept(tokens(5, 5)).shouldBeInstanceOf<AssemblyResult.Failed>()
             }
 
+            it("gives the caller every token that it counts as written, also when a later chunk fails the attempt") {
+                val assembler = StreamAssembler()
+                val caller = Caller()
+                listOf(STARTED, tokens(2, offset = 9), tokens(1, offset = 1), tokens(0, offset = 0)).forEach {
+                    caller.take(assembler.accept(it))
+                }
+                caller.text shouldBe "<0><1>"
+                assembler.writtenTokens shouldBe 2
+            }
+
+            it("keeps bytes without an offset in their place, and is not resumed after them") {
+                val assembler = StreamAssembler()
+                val caller = Caller()
+                listOf(STARTED, bytes(0), tokens(1, offset = 0), bytes(2)).forEach { caller.take(assembler.accept(it)) }
+                caller.text shouldBe "....<0>...."
+                assembler.canResume shouldBe false
+            }
+
             it("does not fill its memory with doubled frames") {
                 val assembler = StreamAssembler(AssemblyLimits(maximumPendingChunks = 4, maximumPendingBytes = 40))
                 assembler.accept(STARTED)
--- a/measure/src/main/kotlin/io/kumquattrail/measure/idempotency/AtMostOnceMeasurement.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/idempotency/AtMostOnceMeasurement.kt
@@ -5,6 +5,7 @@
 import kotlin.random.Random
 
 private const val MAXIMUM_OCCURRENCE = 4
+private const val REPETITIONS = 3
 
 /** Counts runs and false refusals of keyed calls under every pair of faults at every pair of steps. */
 class AtMostOnceMeasurement(
@@ -61,11 +62,7 @@
         } else {
             listOf(
                 rows.reduce { all, row ->
-                    all.copy(
-                        step = "all",
-                        counts =
-                            all.counts + row.counts,
-                    )
+                    all.copy(step = "all", counts = all.counts + row.counts)
                 },
             )
         }
@@ -78,23 +75,27 @@
         secondStep: CallStep,
         seed: Long,
         totals: MutableMap<Pair<DeliveryPolicy, Boolean>, Counts>,
-    ): Counts =
-        TicketUse.entries
-            .flatMap { ticketUse ->
-                listOf(false, true).map { issuedKey ->
-                    val scenarioSeed = listOf(seed, pair, firstStep, secondStep, ticketUse, issuedKey).fold(0L, ::mix)
-                    val random = Random(scenarioSeed)
-                    val faults =
-                        listOf(
-                            PlannedFault(pair.first, firstStep, random.nextInt(1, MAXIMUM_OCCURRENCE)),
-                            PlannedFault(pair.second, secondStep, random.nextInt(1, MAXIMUM_OCCURRENCE)),
-                        )
-                    val scenario = Scenario(scenarioSeed, faults, issuedKey, ticketUse)
-                    val counts = Counts.of(CallSimulation(scenario, policy).run())
-                    totals.merge(policy to (issuedKey && policy.issuesKeys), counts, Counts::plus)
-                    counts
-                }
+    ): Counts {
+        val variants =
+            TicketUse.entries.flatMap { ticketUse ->
+                listOf(false, true).flatMap { issuedKey -> List(REPETITIONS) { Triple(ticketUse, issuedKey, it) } }
+            }
+        return variants
+            .map { (ticketUse, issuedKey, repetition) ->
+                val parts = listOf(seed, pair, firstStep, secondStep, ticketUse, issuedKey, repetition)
+                val scenarioSeed = parts.fold(0L, ::mix)
+                val random = Random(scenarioSeed)
+                val faults =
+                    listOf(
+                        PlannedFault(pair.first, firstStep, random.nextInt(1, MAXIMUM_OCCURRENCE)),
+                        PlannedFault(pair.second, secondStep, random.nextInt(1, MAXIMUM_OCCURRENCE)),
+                    )
+                val scenario = Scenario(scenarioSeed, faults, issuedKey, ticketUse)
+                val counts = Counts.of(CallSimulation(scenario, policy).run())
+                totals.merge(policy to (issuedKey && policy.issuesKeys), counts, Counts::plus)
+                counts
             }.reduce(Counts::plus)
+    }
 
     private fun mix(
         hash: Long,
@@ -102,7 +103,7 @@
     ): Long {
         val value =
             when (part) {
-                is Long -> part
+                is Number -> part.toLong()
                 is Pair<*, *> -> mix(mix(0, checkNotNull(part.first)), checkNotNull(part.second))
                 is Enum<*> -> part.ordinal.toLong()
                 else -> if (part == true) 1 else 0
