--- a/measure/src/main/kotlin/io/kumquattrail/measure/idempotency/AtMostOnceMeasurement.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/idempotency/AtMostOnceMeasurement.kt
@@ -5,6 +5,7 @@
 import kotlin.random.Random
 
 private const val MAXIMUM_OCCURRENCE = 4
+private const val REPETITIONS = 3
 
 /** Counts runs and false refusals of keyed calls under every pair of faults at every pair of steps. */
 class AtMostOnceMeasurement(
@@ -14,24 +15,30 @@
     override val summary = "Counts double runs and false refusals of keyed calls under pairs of faults."
 
     override fun run(options: MeasurementOptions): Map<String, Any?> {
+        val totals = mutableMapOf<Pair<DeliveryPolicy, Boolean>, Counts>()
         val rows =
             policies.flatMap { policy ->
                 options.progress("at-most-once: ${policy.name}")
-                faultPairs().flatMap { pair -> rows(policy, pair, options.seed) }
-            }
-        val totals =
-            policies.map { policy ->
-                val counts = rows.filter { it.policy == policy.name }.map { it.counts }
-                Row(policy.name, faults = "all", step = "all", counts.reduce(Counts::plus))
+                faultPairs().flatMap { pair -> rows(policy, pair, options.seed, totals) }
             }
+        val target = totals.filterKeys { (policy, _) -> policy == KeyTableDelivery }.values
         return mapOf(
             "seed" to options.seed,
-            "targets_met" to totals.first { it.policy == KeyTableDelivery.name }.counts.meetsTargets,
-            "totals" to totals.map { it.toMap() },
+            "targets_met" to target.all { it.meetsTargets },
+            "totals" to totals.map { (group, counts) -> total(group.first, issuedKeys = group.second, counts) },
             "results" to rows.map { it.toMap() },
         )
     }
 
+    private fun total(
+        policy: DeliveryPolicy,
+        issuedKeys: Boolean,
+        counts: Counts,
+    ): Map<String, Any?> =
+        mapOf("policy" to policy.name, "key_kind" to if (issuedKeys) "issued" else "caller") +
+            counts.toMap() +
+            mapOf("keys_answered_share" to counts.answered.toDouble() / counts.keys)
+
     private fun faultPairs(): List<Pair<Fault, Fault>> =
         Fault.entries.flatMap { first -> Fault.entries.filter { it >= first }.map { first to it } }
 
@@ -40,11 +47,12 @@
         policy: DeliveryPolicy,
         pair: Pair<Fault, Fault>,
         seed: Long,
+        totals: MutableMap<Pair<DeliveryPolicy, Boolean>, Counts>,
     ): List<Row> {
         val label = "${pair.first.label}+${pair.second.label}"
         val rows =
             CallStep.entries.map { step ->
-                val counts = CallStep.entries.map { count(policy, pair, step, it, seed) }.reduce(Counts::plus)
+                val counts = CallStep.entries.map { count(policy, pair, step, it, seed, totals) }.reduce(Counts::plus)
                 Row(policy.name, label, step.label, counts)
             }
         val differs =
@@ -54,11 +62,7 @@
         } else {
             listOf(
                 rows.reduce { all, row ->
-                    all.copy(
-                        step = "all",
-                        counts =
-                            all.counts + row.counts,
-                    )
+                    all.copy(step = "all", counts = all.counts + row.counts)
                 },
             )
         }
@@ -70,21 +74,28 @@
         firstStep: CallStep,
         secondStep: CallStep,
         seed: Long,
-    ): Counts =
-        TicketUse.entries
-            .flatMap { ticketUse ->
-                listOf(false, true).map { issuedKey ->
-                    val scenarioSeed = listOf(seed, pair, firstStep, secondStep, ticketUse, issuedKey).fold(0L, ::mix)
-                    val random = Random(scenarioSeed)
-                    val faults =
-                        listOf(
-                            PlannedFault(pair.first, firstStep, random.nextInt(1, MAXIMUM_OCCURRENCE)),
-                            PlannedFault(pair.second, secondStep, random.nextInt(1, MAXIMUM_OCCURRENCE)),
-                        )
-                    val scenario = Scenario(scenarioSeed, faults, issuedKey, ticketUse)
-                    Counts.of(CallSimulation(scenario, policy).run())
-                }
+        totals: MutableMap<Pair<DeliveryPolicy, Boolean>, Counts>,
+    ): Counts {
+        val variants =
+            TicketUse.entries.flatMap { ticketUse ->
+                listOf(false, true).flatMap { issuedKey -> List(REPETITIONS) { Triple(ticketUse, issuedKey, it) } }
+            }
+        return variants
+            .map { (ticketUse, issuedKey, repetition) ->
+                val parts = listOf(seed, pair, firstStep, secondStep, ticketUse, issuedKey, repetition)
+                val scenarioSeed = parts.fold(0L, ::mix)
+                val random = Random(scenarioSeed)
+                val faults =
+                    listOf(
+                        PlannedFault(pair.first, firstStep, random.nextInt(1, MAXIMUM_OCCURRENCE)),
+                        PlannedFault(pair.second, secondStep, random.nextInt(1, MAXIMUM_OCCURRENCE)),
+                    )
+                val scenario = Scenario(scenarioSeed, faults, issuedKey, ticketUse)
+                val counts = Counts.of(CallSimulation(scenario, policy).run())
+                totals.merge(policy to (issuedKey && policy.issuesKeys), counts, Counts::plus)
+                counts
             }.reduce(Counts::plus)
+    }
 
     private fun mix(
         hash: Long,
@@ -92,7 +103,7 @@
     ): Long {
         val value =
             when (part) {
-                is Long -> part
+                is Number -> part.toLong()
                 is Pair<*, *> -> mix(mix(0, checkNotNull(part.first)), checkNotNull(part.second))
                 is Enum<*> -> part.ordinal.toLong()
                 else -> if (part == true) 1 else 0
@@ -111,19 +122,7 @@
     val step: String,
     val counts: Counts,
 ) {
-    fun toMap(): Map<String, Any?> =
-        mapOf(
-            "policy" to policy,
-            "faults" to faults,
-            "step" to step,
-            "calls" to counts.calls,
-            "keys" to counts.keys,
-            "runs_max_per_key" to counts.mostRuns,
-            "double_runs" to counts.doubleRuns,
-            "false_not_run" to counts.falseNotRun,
-            "refused_unknown_share" to counts.refusedUnknown.toDouble() / counts.calls,
-            "refused_not_run_share" to counts.refusedNotRun.toDouble() / counts.calls,
-        )
+    fun toMap(): Map<String, Any?> = mapOf("policy" to policy, "faults" to faults, "step" to step) + counts.toMap()
 }
 
 private data class Counts(
@@ -134,6 +133,7 @@
     val falseNotRun: Int,
     val refusedUnknown: Int,
     val refusedNotRun: Int,
+    val answered: Int,
 ) {
     val meetsTargets: Boolean get() = doubleRuns == 0 && falseNotRun == 0
 
@@ -146,6 +146,18 @@
             falseNotRun = falseNotRun + other.falseNotRun,
             refusedUnknown = refusedUnknown + other.refusedUnknown,
             refusedNotRun = refusedNotRun + other.refusedNotRun,
+            answered = answered + other.answered,
+        )
+
+    fun toMap(): Map<String, Any?> =
+        mapOf(
+            "calls" to calls,
+            "keys" to keys,
+            "runs_max_per_key" to mostRuns,
+            "double_runs" to doubleRuns,
+            "false_not_run" to falseNotRun,
+            "refused_unknown_share" to refusedUnknown.toDouble() / calls,
+            "refused_not_run_share" to refusedNotRun.toDouble() / calls,
         )
 
     companion object {
@@ -158,6 +170,7 @@
                 falseNotRun = result.falseNotRun,
                 refusedUnknown = result.refusedUnknown,
                 refusedNotRun = result.refusedNotRun,
+                answered = if (result.answered) 1 else 0,
             )
     }
 }
