--- a/decision/src/main/kotlin/io/kumquattrail/decision/limit/FairQueue.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/limit/FairQueue.kt
@@ -67,7 +67,7 @@
         val shed = mutableListOf<WorkItem>()
         if (waitingById.size >= settings.mostItems) {
             val victim =
-                victimFor(level, level.finishOf(item.organisation, weight, cost))
+                victimFor(level, level.startOf(item.organisation, weight))
                     ?: return QueueDecision.Rejected(retryAfter(wait, item))
             discard(victim)
             shed += victim.item
@@ -78,6 +78,10 @@
         waitingById[item.id] = waiting
         byDeadline.add(waiting)
         waitingTokens += cost
+        if (shed.isEmpty() && level.mostOverShare() === waiting && isLate(level, waiting, now)) {
+            discard(waiting)
+            return QueueDecision.Rejected(retryAfter(wait, item))
+        }
         shed += shedLate(level, waiting, now)
         return QueueDecision.Accepted(shed)
     }
@@ -174,7 +178,7 @@
 
             else -> {
                 reservedCredit -= cost
-                level.reservedTokens += cost.toDouble() / maxOf(1, level.weight())
+                level.reservedTokens += cost.toDouble() / maxOf(1L, level.weight)
             }
         }
     }
@@ -185,15 +189,15 @@
         level.reservedTokens = maxOf(level.reservedTokens, least)
     }
 
-    /** Finds the item that gives way to a new item at [level] with virtual [finish], or `null` when none does. */
+    /** Finds the item that gives way to a new item at [level] with virtual [start], or `null` when none does. */
     private fun victimFor(
         level: PriorityLevel,
-        finish: Double,
+        start: Double,
     ): WaitingItem? {
         val waiting = waitingLevels()
         val lower = waiting.takeWhile { it.priority < level.priority }
         if (lower.sumOf { it.items } > reservedItems) return lower.first().mostOverShare()
-        if (!level.isEmpty && level.latestFinish() > finish) return level.mostOverShare()
+        if (!level.isEmpty && level.latestStart() > start) return level.mostOverShare()
         val higher = waiting.dropWhile { it.priority <= level.priority }
         val upToLevel = waiting.takeWhile { it.priority <= level.priority }.sumOf { it.items }
         return if (upToLevel < reservedItems) higher.firstOrNull()?.mostOverShare() else null
@@ -207,14 +211,36 @@
     ): List<WorkItem> =
         buildList {
             while (true) {
-                val last = level.mostOverShare()?.takeIf { it !== added } ?: break
-                val wait = durationOf((level.tokens - last.cost).toDouble(), level)
-                if (now + wait <= minOf(last.item.deadline, last.enqueued + settings.longestWait)) break
+                val last = level.mostOverShare()?.takeIf { it !== added && isLate(level, it, now) } ?: break
                 discard(last)
                 add(last.item)
             }
         }
 
+    /** Tells whether [last], the last item to be served at [level], would be served too late. */
+    private fun isLate(
+        level: PriorityLevel,
+        last: WaitingItem,
+        now: MonotonicTime,
+    ): Boolean {
+        val wait = durationOf((level.tokens - last.cost).toDouble(), level)
+        return now + wait > latestStartTime(last.item, level, last.enqueued)
+    }
+
+    /**
+     * Time until which [item] may wait. Only the highest waiting priority has the bound of the queue: the reserved share
+     * is slow, and within that bound a lower priority would hold too few items to share fairly.
+     */
+    private fun latestStartTime(
+        item: WorkItem,
+        level: PriorityLevel,
+        enqueued: MonotonicTime,
+    ): MonotonicTime {
+        val isHighest =
+            levels.lastEntry().value === level || levels.tailMap(level.priority, false).values.all { it.isEmpty }
+        return if (isHighest) minOf(item.deadline, enqueued + settings.longestWait) else item.deadline
+    }
+
     private fun discard(waiting: WaitingItem) {
         levels.getValue(waiting.item.priority).discard(waiting)
         forget(waiting)
--- a/decision/src/main/kotlin/io/kumquattrail/decision/limit/FairQueueSettings.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/limit/FairQueueSettings.kt
@@ -28,6 +28,7 @@
 ) {
     init {
         require(mostItems > 0) { "mostItems has to be positive" }
+        require(longestWait.isFinite()) { "longestWait has to be finite" }
         require(reservedShare in 0.0..MOST_RESERVED_SHARE) { "reservedShare has to be in 0..$MOST_RESERVED_SHARE" }
     }
 
--- a/decision/src/main/kotlin/io/kumquattrail/decision/limit/LoadShedder.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/limit/LoadShedder.kt
@@ -11,7 +11,7 @@
  *
  * The shed share rises while the mean pressure is above [LoadShedderSettings.raiseAbove], falls while it is below
  * [LoadShedderSettings.lowerBelow], and stays in between, so that it does not swing with every report. Sheds the lowest
- * priority first, and of each priority at most [LoadShedderSettings.mostPerPriority], so that none starves. The highest
+ * priority first, and lets lower priorities keep [LoadShedderSettings.keptShare], so that none starves. The highest
  * priority in the offered traffic is left to the agents' fair queues, which see organisations' shares and the shedder does
  * not. An instance covers one service and is used by one thread at a time.
  */
@@ -55,10 +55,10 @@
     /** Share of the requests at [priority] that is refused now. */
     fun shareOf(priority: Int): Double {
         if (offered.isEmpty()) return 0.0
-        val total = offered.values.sumOf { it.tokens }
-        var left = total * shedShare
+        val most = mostOfLower()
+        var left = offered.values.sumOf { it.tokens } * shedShare
         for ((candidate, level) in offered.headMap(offered.lastKey(), false)) {
-            val share = if (level.tokens > 0.0) minOf(settings.mostPerPriority, left / level.tokens) else 0.0
+            val share = if (level.tokens > 0.0) minOf(most, left / level.tokens) else 0.0
             if (candidate == priority) return share
             left -= share * level.tokens
         }
@@ -89,10 +89,18 @@
     /** Bounds the share by what lower priorities can give, as a higher one would only delay its fall afterwards. */
     private fun mostShare(): Double {
         val total = offered.values.sumOf { it.tokens }
-        if (total <= 0.0) return 0.0
-        return settings.mostPerPriority * offered.headMap(offered.lastKey(), false).values.sumOf { it.tokens } / total
+        return if (total <= 0.0) 0.0 else mostOfLower() * lowerTokens() / total
+    }
+
+    /** Share of each lower priority that may be refused, so that the agents still get enough for its reserved share. */
+    private fun mostOfLower(): Double {
+        val lower = lowerTokens()
+        if (lower <= 0.0) return 0.0
+        return (1.0 - settings.keptShare * offered.values.sumOf { it.tokens } / lower).coerceIn(0.0, 1.0)
     }
 
+    private fun lowerTokens(): Double = offered.headMap(offered.lastKey(), false).values.sumOf { it.tokens }
+
     private class Report(
         val load: ServerLoad,
         val at: MonotonicTime,
--- a/decision/src/main/kotlin/io/kumquattrail/decision/limit/LoadShedderSettings.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/limit/LoadShedderSettings.kt
@@ -10,7 +10,8 @@
  * @property lowerBelow waiting requests per place at the servers below which less is shed.
  * @property raiseStep change of the shed share in one interval while pressure is high.
  * @property lowerStep change of the shed share in one interval while pressure is low.
- * @property mostPerPriority greatest share of one priority that is refused.
+ * @property keptShare share of all offered tokens that lower priorities keep, above the share that agents' queues
+ *   reserve for them.
  * @property interval time between two changes, longer than reports take to show the effect of the last.
  * @property reportValidity time after which a report no longer counts.
  * @property shortestRetryAfter time that a refusal names at the least.
@@ -20,7 +21,7 @@
     val lowerBelow: Double = 0.25,
     val raiseStep: Double = 0.05,
     val lowerStep: Double = 0.02,
-    val mostPerPriority: Double = 0.9,
+    val keptShare: Double = 0.3,
     val interval: Duration = 1.seconds,
     val reportValidity: Duration = 10.seconds,
     val shortestRetryAfter: Duration = 1.seconds,
--- a/decision/src/main/kotlin/io/kumquattrail/decision/limit/OrganisationFlow.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/limit/OrganisationFlow.kt
@@ -18,15 +18,28 @@
     }
 }
 
-/** Holds the items of one organisation that wait at one priority, in order of arrival. */
+/**
+ * Holds the items of one organisation that wait at one priority, in order of arrival.
+ *
+ * @property sequence breaks ties between flows by age, so that no organisation loses every tie.
+ */
 internal class OrganisationFlow(
     val organisation: OrganisationName,
     var weight: Int,
     var start: Double,
+    val sequence: Long,
 ) {
     val items = ArrayDeque<WaitingItem>()
     var tokens = 0L
 
-    /** Virtual time at which the last waiting item would finish. */
-    val finish: Double get() = start + tokens.toDouble() / weight
+    /**
+     * Virtual time at which the last waiting item would start. How far an organisation is over its share is told by this
+     * time and not by the finish time, which would shed the only item of a light organisation before the third of a
+     * heavy one.
+     */
+    val lastStart: Double get() = start + (tokens - items.last().cost).toDouble() / weight
+
+    /** Tokens of this flow that are served before virtual time [until], at least those of the first item. */
+    fun tokensUntil(until: Double): Double =
+        maxOf(items.first().cost.toDouble(), minOf(tokens.toDouble(), (until - start) * weight))
 }
--- a/decision/src/main/kotlin/io/kumquattrail/decision/limit/OwnerQuota.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/limit/OwnerQuota.kt
@@ -3,7 +3,6 @@
 import io.kumquattrail.decision.identity.Incarnation
 import io.kumquattrail.decision.identity.OrganisationName
 import io.kumquattrail.decision.identity.ProcessName
-import io.kumquattrail.decision.identity.RendezvousHash
 import io.kumquattrail.decision.time.MonotonicTime
 import kotlinx.collections.immutable.toImmutableList
 import kotlin.random.Random
@@ -33,13 +32,16 @@
 ) : QuotaPolicy {
     private val organisations = HashMap<OrganisationName, Local>()
     private val owners = HashMap<ProcessName, Owner>()
-    private var gateways: List<ProcessName> = listOf(self)
+    private var gateways = QuotaOwners(listOf(self))
     private var bytes = 0.0
     private var lastTick: MonotonicTime? = null
     private var entriesPerGrant = 0.0
+    private var lastForgotten = MonotonicTime(Long.MIN_VALUE / 2)
+    private var requested = 0L
+    private var requestedRate = 0.0
 
     /** Time in which this gateway exchanges a message with every owner. */
-    private val round: Duration get() = settings.round(gateways.size, entriesPerGrant)
+    private val round: Duration get() = settings.round(gateways.names.size, entriesPerGrant)
 
     override fun admit(
         organisation: OrganisationName,
@@ -49,12 +51,17 @@
         val limit = limits(organisation)?.toDouble() ?: return QuotaDecision.Granted
         val local = organisations.getOrPut(organisation) { Local(organisation, limit, now) }
         val owner = owners.getOrPut(ownerOf(local)) { Owner(now) }
-        local.record(tokens, now)
-        owner.record(local, tokens * gateways.size / maxOf(limit, 1.0))
+        local.record(tokens, limit.toLong(), now)
+        owner.pending += local
+        owner.pendingTokens += tokens
+        requested += tokens
         val demand = knownDemand(local, owner, now)
         val rate = rateOf(local, limit, demand)
-        val depth = maxOf(rate * settings.burst.toDouble(DurationUnit.SECONDS), tokens * LEAST_DEPTH_REQUESTS)
+        val saved = rate * settings.burst.toDouble(DurationUnit.SECONDS)
+        val depth = if (demand == null) saved else maxOf(saved, tokens * LEAST_DEPTH_REQUESTS)
         local.bucket.refill(rate, depth, now)
+        if (demand != null && !local.isKnown) local.bucket.fill(depth)
+        local.isKnown = demand != null
         val fraction = if (demand == null || demand <= limit) 1.0 else limit / demand
         if (!local.bucket.hasTokens) return QuotaDecision.Refused(settings.retryAfter(local.bucket.waitAt(rate)))
         if (!local.passes(fraction)) return QuotaDecision.Refused(retryAfter(fraction))
@@ -77,11 +84,14 @@
         gateways: Collection<ProcessName>,
         now: MonotonicTime,
     ) {
-        val sorted = (gateways + self).distinct().sorted()
-        if (sorted == this.gateways) return
-        this.gateways = sorted
-        owners.keys.retainAll(sorted.toSet())
-        owners.values.forEach { it.pending.clear() }
+        val changed = QuotaOwners(gateways + self)
+        if (changed.names == this.gateways.names) return
+        this.gateways = changed
+        owners.keys.retainAll(changed.names.toSet())
+        owners.values.forEach { owner ->
+            owner.pending.clear()
+            owner.pendingTokens = 0
+        }
         organisations.values.forEach { it.owner = null }
         organisations.values
             .filter { it.requests > 0 }
@@ -91,7 +101,7 @@
     override fun tick(now: MonotonicTime): List<QuotaRequest> {
         refillBytes(now)
         forgetIdle(now)
-        gateways.forEach { owners.getOrPut(it) { Owner(now) } }
+        gateways.names.forEach { owners.getOrPut(it) { Owner(now) } }
         return buildList {
             while (bytes > 0.0) {
                 val (name, owner) = nextOwner(now) ?: break
@@ -118,9 +128,7 @@
     }
 
     private fun ownerOf(local: Local): ProcessName =
-        local.owner
-            ?: checkNotNull(RendezvousHash.owner(local.organisation.value, gateways) { it.value })
-                .also { local.owner = it }
+        local.owner ?: gateways.ownerOf(local.key).also { local.owner = it }
 
     /** Returns the fleet's demand in tokens a second, or `null` while no fresh figure is known. */
     private fun knownDemand(
@@ -147,7 +155,7 @@
         limit: Double,
         demand: Double?,
     ): Double {
-        val share = limit / gateways.size
+        val share = limit / gateways.names.size
         if (demand == null) return share
         val ratio = limit / maxOf(demand, limit / MOST_RATIO)
         return maxOf(share, settings.headroom * ratio * local.reportedRate)
@@ -160,19 +168,41 @@
     private fun refillBytes(now: MonotonicTime) {
         val previous = lastTick ?: now
         lastTick = now
-        val refill = settings.bytesPerSecond * (now - previous).toDouble(DurationUnit.SECONDS)
-        bytes = minOf(bytes + refill, settings.bytesPerSecond)
+        val seconds = (now - previous).toDouble(DurationUnit.SECONDS)
+        bytes = minOf(bytes + settings.bytesPerSecond * seconds, settings.bytesPerSecond)
+        if (seconds <= 0.0) return
+        requestedRate += (requested / seconds - requestedRate) * minOf(1.0, seconds / REQUESTED_SECONDS)
+        requested = 0
     }
 
     private fun forgetIdle(now: MonotonicTime) {
+        if (now - lastForgotten < FORGET_INTERVAL) return
+        lastForgotten = now
         val idle = round * VALID_ROUNDS + settings.resendAfter
         organisations.values.removeAll { it.requests == 0 && now - it.lastRequest > idle }
     }
 
-    private fun nextOwner(now: MonotonicTime): Map.Entry<ProcessName, Owner>? =
-        owners.entries
-            .filter { (_, owner) -> owner.mayReport(now) }
-            .maxByOrNull { (_, owner) -> owner.urgency + (now - owner.lastSent) / round }
+    /**
+     * Chooses the owner with the oldest figures or with the most demand to report: large organisations decide most of
+     * the error of the limits, and the rest takes its turn.
+     */
+    private fun nextOwner(now: MonotonicTime): Map.Entry<ProcessName, Owner>? {
+        val roundNanoseconds = round.inWholeNanoseconds.toDouble()
+        val usualTokens = requestedRate * round.toDouble(DurationUnit.SECONDS) / gateways.names.size + 1.0
+        var best: Map.Entry<ProcessName, Owner>? = null
+        var bestScore = -1.0
+        for (entry in owners.entries) {
+            val owner = entry.value
+            if (!owner.mayReport(now)) continue
+            val age = (now.nanoseconds - owner.lastSent.nanoseconds) / roundNanoseconds
+            val score = owner.pendingTokens / usualTokens + age
+            if (score > bestScore) {
+                best = entry
+                bestScore = score
+            }
+        }
+        return best
+    }
 
     private fun sizeOf(report: QuotaReport): Double =
         2.0 * settings.messageBytes + settings.entryBytes * (report.usages.size + entriesPerGrant)
@@ -195,11 +225,11 @@
                 gateway = self,
                 incarnation = incarnation,
                 sequence = sequence++,
-                usages = reported.map { QuotaUsage(it.key, it.tokens, it.requests) }.toImmutableList(),
+                usages = reported.map { QuotaUsage(it.key, it.tokens, it.requests, it.limit) }.toImmutableList(),
             )
         reported.forEach { it.reported(now) }
         pending.removeAll(reported.toSet())
-        urgency = 0.0
+        pendingTokens = 0
         unacknowledged = report
         check(name in owners)
         return report
@@ -217,19 +247,11 @@
         val pending = LinkedHashSet<Local>()
         val demands = HashMap<OrganisationKey, KnownDemand>()
         var hasSent = false
-        var urgency = 0.0
+        var pendingTokens = 0L
         var sequence = 0L
         var unacknowledged: QuotaReport? = null
         var grantedAt: MonotonicTime? = null
         var isComplete = false
-
-        fun record(
-            local: Local,
-            secondsOfLimit: Double,
-        ) {
-            pending += local
-            urgency = minOf(urgency + secondsOfLimit / URGENT_SECONDS, MOST_URGENCY)
-        }
     }
 
     /** Holds the state of one organisation at this gateway. */
@@ -239,13 +261,17 @@
         now: MonotonicTime,
     ) {
         val key = OrganisationKey.of(organisation)
-        val bucket = TokenBucket(limit / gateways.size * settings.burst.toDouble(DurationUnit.SECONDS), now)
+        val bucket = TokenBucket(limit / gateways.names.size * settings.burst.toDouble(DurationUnit.SECONDS), now)
         var owner: ProcessName? = null
         var demand: Double? = null
         var demandAt = now
         var lastRequest = now
         var tokens = 0L
+        var limit = 0L
         var requests = 0
+
+        /** While the demand is unknown, one request can put a small organisation into debt for minutes. */
+        var isKnown = false
         var reportedRate = 0.0
 
         /** Starts at a random phase, because otherwise the first request at every gateway would fare alike. */
@@ -254,8 +280,10 @@
 
         fun record(
             tokens: Long,
+            limit: Long,
             now: MonotonicTime,
         ) {
+            this.limit = limit
             this.tokens += tokens
             requests += 1
             lastRequest = now
@@ -283,13 +311,13 @@
     }
 
     private companion object {
+        val FORGET_INTERVAL = 10.seconds
         const val MOST_USAGES = 64
-        const val MOST_RATIO = 4.0
+        const val MOST_RATIO = 2.0
         const val LEAST_DEPTH_REQUESTS = 4.0
         const val VALID_ROUNDS = 3
         const val SMOOTHING = 0.1
-        const val URGENT_SECONDS = 4.0
-        const val MOST_URGENCY = 20.0
+        const val REQUESTED_SECONDS = 10.0
         const val RATE_SECONDS = 4.0
         const val LEAST_REPORT_SECONDS = 0.25
         const val RETRY_SECONDS = 0.5
--- a/decision/src/main/kotlin/io/kumquattrail/decision/limit/PriorityLevel.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/limit/PriorityLevel.kt
@@ -5,7 +5,11 @@
 import java.util.TreeSet
 
 /**
- * Orders the organisations that wait at one priority by start-time fair queueing over token cost.
+ * Orders the organisations that wait at one priority by weighted fair queueing over token cost.
+ *
+ * Virtual time advances with each served token by one over the sum of the waiting weights, as in WF2Q+. With the start
+ * time of the item in service as virtual time, a steady flow of organisations with one request each held it still and
+ * starved the organisations that had been served before.
  *
  * An organisation without waiting items is remembered only while its past service still puts it ahead of virtual time,
  * and at most [mostRemembered] of them are.
@@ -16,10 +20,12 @@
     val meter: DrainMeter,
 ) {
     private val flows = HashMap<OrganisationName, OrganisationFlow>()
-    private val byStart = TreeSet(compareBy<OrganisationFlow>({ it.start }, { it.organisation }))
-    private val byFinish = TreeSet(compareBy<OrganisationFlow>({ it.finish }, { it.organisation }))
+    private val byStart = TreeSet(compareBy<OrganisationFlow>({ it.start }, { it.sequence }))
+    private val byLastStart = TreeSet(compareBy<OrganisationFlow>({ it.lastStart }, { it.sequence }))
     private val remembered = HashMap<OrganisationName, Double>()
     private var virtualTime = 0.0
+    private var weights = 0L
+    private var sequence = 0L
 
     /** Tokens served to this level from the share that is reserved for lower priorities. */
     var reservedTokens = 0.0
@@ -38,17 +44,10 @@
     fun head(): WaitingItem? = byStart.firstOrNull()?.items?.first()
 
     /** Last item of the organisation that is furthest over its share. */
-    fun mostOverShare(): WaitingItem? = byFinish.lastOrNull()?.items?.last()
-
-    /** Virtual finish time of the organisation that is furthest over its share. */
-    fun latestFinish(): Double = byFinish.lastOrNull()?.finish ?: virtualTime
+    fun mostOverShare(): WaitingItem? = byLastStart.lastOrNull()?.items?.last()
 
-    /** Virtual finish time that an item of [cost] would get if it were added. */
-    fun finishOf(
-        organisation: OrganisationName,
-        weight: Int,
-        cost: Long,
-    ): Double = startOf(organisation, weight) + cost.toDouble() / weight
+    /** Virtual time at which the last item of the organisation furthest over its share would start. */
+    fun latestStart(): Double = byLastStart.lastOrNull()?.lastStart ?: virtualTime
 
     /** Tokens at this level that are served before a new item of [organisation]. */
     fun tokensAhead(
@@ -59,8 +58,8 @@
         return flows.values.sumOf { flow ->
             when {
                 flow.organisation == organisation -> flow.tokens.toDouble()
-                flow.start >= start -> 0.0
-                else -> minOf(flow.tokens.toDouble(), (start - flow.start) * flow.weight)
+                flow.start > start -> 0.0
+                else -> flow.tokensUntil(start)
             }
         }
     }
@@ -74,18 +73,20 @@
         if (known == null) {
             val start = startOf(organisation, weight)
             remembered.remove(organisation)
-            val flow = OrganisationFlow(organisation, weight, start)
+            val flow = OrganisationFlow(organisation, weight, start, sequence++)
+            weights += weight
             flow.items.addLast(waiting)
             flow.tokens = waiting.cost
             flows[organisation] = flow
             byStart.add(flow)
-            byFinish.add(flow)
+            byLastStart.add(flow)
         } else {
-            byFinish.remove(known)
+            byLastStart.remove(known)
+            weights += weight - known.weight
             known.weight = weight
             known.items.addLast(waiting)
             known.tokens += waiting.cost
-            byFinish.add(known)
+            byLastStart.add(known)
         }
         items += 1
         tokens += waiting.cost
@@ -94,7 +95,7 @@
     /** Removes [waiting] because it is served, and charges its organisation. */
     fun serve(waiting: WaitingItem) {
         val flow = flows.getValue(waiting.item.organisation)
-        virtualTime = maxOf(virtualTime, flow.start)
+        virtualTime = maxOf(virtualTime + waiting.cost.toDouble() / weights, byStart.first().start)
         take(waiting, charge = waiting.cost.toDouble() / flow.weight)
     }
 
@@ -104,8 +105,9 @@
     fun clear() {
         flows.clear()
         byStart.clear()
-        byFinish.clear()
+        byLastStart.clear()
         remembered.clear()
+        weights = 0
         items = 0
         tokens = 0
     }
@@ -113,9 +115,10 @@
     fun advance(now: MonotonicTime) = meter.advance(now, busy = !isEmpty)
 
     /** Sum of the weights of the organisations that wait. */
-    fun weight(): Int = flows.values.sumOf { it.weight }
+    val weight: Long get() = weights
 
-    private fun startOf(
+    /** Virtual time at which a new item of [organisation] would start. */
+    fun startOf(
         organisation: OrganisationName,
         weight: Int,
     ): Double =
@@ -128,7 +131,7 @@
     ) {
         val flow = flows.getValue(waiting.item.organisation)
         byStart.remove(flow)
-        byFinish.remove(flow)
+        byLastStart.remove(flow)
         flow.items.remove(waiting)
         flow.tokens -= waiting.cost
         flow.start += charge
@@ -136,10 +139,11 @@
         tokens -= waiting.cost
         if (flow.items.isEmpty()) {
             flows.remove(flow.organisation)
+            weights -= flow.weight
             remember(flow)
         } else {
             byStart.add(flow)
-            byFinish.add(flow)
+            byLastStart.add(flow)
         }
     }
 
--- a/decision/src/main/kotlin/io/kumquattrail/decision/limit/QuotaMessage.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/limit/QuotaMessage.kt
@@ -40,18 +40,21 @@
  *
  * @property tokens tokens asked for since the last report.
  * @property requests requests since the last report.
+ * @property limit published limit in tokens a second as the gateway knows it.
  */
 data class QuotaUsage(
     val organisation: OrganisationKey,
     val tokens: Long,
     val requests: Int,
+    val limit: Long,
 )
 
 /**
  * Responds to a report with the demand over all gateways.
  *
  * @property sequence number of the report.
- * @property complete whether [demands] names every organisation of this owner that has any demand.
+ * @property complete whether [demands] names every organisation of this owner that may come near its limit; any other
+ *   organisation then asks for less than half of its limit.
  */
 data class QuotaGrant(
     val sequence: Long,
--- a/decision/src/main/kotlin/io/kumquattrail/decision/limit/QuotaOwner.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/limit/QuotaOwner.kt
@@ -12,8 +12,9 @@
  * Adds up the demand of the organisations whose quota this process owns.
  *
  * The state is only in memory. A new owner gives no figure for an organisation before it has received reports for one
- * round, because a sum over some of the gateways would be too low and let the others exceed the limit. The owner knows
- * no limits: gateways compare the demand with the limits in effect at their side.
+ * round, because a sum over some of the gateways would be too low and let the others exceed the limit. Organisations
+ * that ask for less than half of their limit are left out of responses, which keeps these short on an ordinary day.
+ * Gateways compare the demand with the limits in effect at their side.
  */
 class QuotaOwner(
     private val settings: QuotaSettings = QuotaSettings(),
@@ -21,6 +22,7 @@
     private val demands = LinkedHashMap<OrganisationKey, Demand>()
     private val received = HashMap<ProcessName, Received>()
     private var gateways = 1
+    private var listedEntries = 0.0
 
     /** Replaces the gateways that are believed to be live, this one included. */
     fun updateGateways(gateways: Collection<ProcessName>) {
@@ -33,7 +35,7 @@
         report: QuotaReport,
         now: MonotonicTime,
     ): QuotaGrant {
-        val round = settings.round(gateways, demands.size.toDouble())
+        val round = settings.round(gateways, listedEntries)
         val previous = received[report.gateway]
         val isNew = previous?.incarnation != report.incarnation || report.sequence > previous.sequence
         if (isNew) {
@@ -43,17 +45,16 @@
             }
         }
         demands.values.removeAll { now - it.last > round * IDLE_ROUNDS }
-        val named = report.usages.map { it.organisation }.toSet()
         val listed =
-            if (demands.size <= MOST_ENTRIES) {
-                demands.entries
-            } else {
-                demands.entries.filter { it.key in named }
+            demands.entries.mapNotNull { (key, demand) ->
+                val rate = demand.rate(now, round)
+                QuotaDemand(key, rate).takeIf { rate == null || rate >= LISTED_SHARE * demand.limit }
             }
+        listedEntries += (listed.size - listedEntries) * SMOOTHING
         return QuotaGrant(
             sequence = report.sequence,
-            demands = listed.map { (key, demand) -> QuotaDemand(key, demand.rate(now, round)) }.toImmutableList(),
-            complete = demands.size <= MOST_ENTRIES,
+            demands = listed.take(MOST_ENTRIES).toImmutableList(),
+            complete = listed.size <= MOST_ENTRIES,
         )
     }
 
@@ -70,6 +71,8 @@
         private val slow = Average()
         var last = since
             private set
+        var limit = 0L
+            private set
 
         fun add(
             usage: QuotaUsage,
@@ -77,6 +80,7 @@
             round: Duration,
         ) {
             decay(now, round)
+            limit = usage.limit
             listOf(fast, slow).forEach { it.add(usage) }
         }
 
@@ -142,7 +146,9 @@
     }
 
     private companion object {
-        const val MOST_ENTRIES = 64
+        const val MOST_ENTRIES = 512
+        const val LISTED_SHARE = 0.5
+        const val SMOOTHING = 0.1
         const val IDLE_ROUNDS = 20
         const val REQUESTS_FOR_FAST = 200.0
         const val LEAST_FAST_SECONDS = 4.0
--- a/decision/src/main/kotlin/io/kumquattrail/decision/limit/QuotaSettings.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/limit/QuotaSettings.kt
@@ -10,7 +10,7 @@
  * @property bytesPerSecond bytes a second of reports and their responses that one gateway starts; as an owner it
  *   receives about as much again.
  * @property messageBytes bytes of one message without entries, with TCP, TLS, HTTP/2 and gRPC framing.
- * @property entryBytes bytes of one entry of a message.
+ * @property entryBytes bytes of one entry of a message, with entries in packed fields.
  * @property leastReportInterval shortest time between two reports to the same owner.
  * @property resendAfter time after which a report without a response is sent again.
  * @property headroom factor by which a gateway may exceed its part of the limit before the next report, so that uneven
@@ -21,8 +21,8 @@
  */
 data class QuotaSettings(
     val bytesPerSecond: Double = 1_500.0,
-    val messageBytes: Int = 80,
-    val entryBytes: Int = 16,
+    val messageBytes: Int = 120,
+    val entryBytes: Int = 14,
     val leastReportInterval: Duration = 1.seconds,
     val resendAfter: Duration = 2.seconds,
     val headroom: Double = 1.2,
--- a/decision/src/main/kotlin/io/kumquattrail/decision/limit/TokenBucket.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/limit/TokenBucket.kt
@@ -27,6 +27,11 @@
 
     val hasTokens: Boolean get() = balance > 0.0
 
+    /** Raises the balance to [depth] and so drops any debt. */
+    fun fill(depth: Double) {
+        balance = depth
+    }
+
     fun charge(tokens: Double) {
         balance -= tokens
     }
--- a/measure/src/main/kotlin/io/kumquattrail/measure/limit/LimitsMeasurement.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/limit/LimitsMeasurement.kt
@@ -2,12 +2,26 @@
 
 import io.kumquattrail.measure.Measurement
 import io.kumquattrail.measure.MeasurementOptions
+import java.util.concurrent.Callable
+import java.util.concurrent.Executors
 
 /** Measures fair shares, quotas and goodput under overload against simpler policies. */
 object LimitsMeasurement : Measurement {
     private const val LEAST_GOODPUT_RATIO = 0.95
     private val LOADS = listOf(0.5, 1.0, 2.0, 5.0)
     private val GATEWAYS_BY_ORGANISATIONS = mapOf(10 to 8, 5_000 to 32)
+    private const val THREADS = 4
+    private val QUOTAS =
+        mapOf(
+            "owner" to LimitPolicy.OWNER_QUOTA,
+            "estimated" to LimitPolicy.ESTIMATED_QUOTA,
+            "static" to LimitPolicy.STATIC_QUOTA,
+        )
+    private val QUOTA_SIZES =
+        listOf(
+            QuotaSize(10, 8, 200.0, GatewayChange.entries),
+            QuotaSize(5_000, 320, 3_800.0, listOf(GatewayChange.RESTARTS)),
+        )
 
     override val name: String = "limits"
 
@@ -15,22 +29,82 @@
 
     override fun run(options: MeasurementOptions): Map<String, Any?> {
         val rows =
-            LimitPolicy.all.flatMap { policy ->
-                GATEWAYS_BY_ORGANISATIONS.flatMap { (organisations, gateways) ->
-                    LOADS.map { load ->
-                        val outcome = LimitSimulation(policy, organisations, gateways, load, options.seed).run()
-                        Row(policy, organisations, load, outcome).also { options.progress(it.toMap().toString()) }
+            inParallel(
+                LimitPolicy.all.flatMap { policy ->
+                    GATEWAYS_BY_ORGANISATIONS.flatMap { (organisations, gateways) ->
+                        LOADS.map { load -> { row(policy, organisations, gateways, load, options) } }
+                    }
+                },
+            )
+        val quotas =
+            inParallel(
+                QUOTAS.flatMap { (label, factory) ->
+                    QUOTA_SIZES.flatMap { size ->
+                        size.changes.map { change -> { quotaRow(label, factory, size, change, options) } }
                     }
-                }
-            }
+                },
+            )
         return mapOf(
             "measurement" to name,
             "seed" to options.seed,
             "results" to rows.map { it.toMap() },
-            "targets_met" to targetsMet(rows.filter { it.policy === LimitPolicy.PRODUCT }),
+            "quota_results" to quotas,
+            "targets_met" to
+                targetsMet(rows.filter { it.policy === LimitPolicy.PRODUCT }),
         )
     }
 
+    private fun row(
+        policy: LimitPolicy,
+        organisations: Int,
+        gateways: Int,
+        load: Double,
+        options: MeasurementOptions,
+    ): Row {
+        val outcome = LimitSimulation(policy, organisations, gateways, load, options.seed).run()
+        return Row(policy, organisations, load, outcome).also { options.progress(it.toMap().toString()) }
+    }
+
+    private fun quotaRow(
+        label: String,
+        factory: QuotaFactory,
+        size: QuotaSize,
+        change: GatewayChange,
+        options: MeasurementOptions,
+    ): Map<String, Any?> {
+        val simulation =
+            QuotaSimulation(
+                quota = factory,
+                organisationCount = size.organisations,
+                gatewayCount = size.gateways,
+                requestsPerSecond = size.requestsPerSecond,
+                change = change,
+                seed = options.seed,
+            )
+        val outcome = simulation.run()
+        return mapOf(
+            "policy" to label,
+            "organisations" to size.organisations,
+            "gateways" to size.gateways,
+            "change" to change.label,
+            "quota_error" to outcome.error,
+            "quota_excess" to outcome.excess,
+            "worst_excess_10_s" to outcome.worstExcess,
+            "refused_below_limit" to outcome.refusedBelowLimit,
+            "bytes_per_second_per_process" to outcome.bytesPerSecond,
+        ).also { options.progress(it.toString()) }
+    }
+
+    /** Runs independent simulations side by side; each has its own seed, so the order has no effect. */
+    private fun <T> inParallel(tasks: List<() -> T>): List<T> {
+        val pool = Executors.newFixedThreadPool(THREADS)
+        try {
+            return pool.invokeAll(tasks.map { Callable(it) }).map { it.get() }
+        } finally {
+            pool.shutdown()
+        }
+    }
+
     private fun targetsMet(rows: List<Row>): Boolean =
         rows.groupBy { it.organisations }.values.all { sameSize ->
             val goodputs = sameSize.associate { it.load to it.outcome.goodput }
@@ -38,6 +112,13 @@
                 sameSize.all { it.outcome.starved == 0 }
         }
 
+    private class QuotaSize(
+        val organisations: Int,
+        val gateways: Int,
+        val requestsPerSecond: Double,
+        val changes: List<GatewayChange>,
+    )
+
     private class Row(
         val policy: LimitPolicy,
         val organisations: Int,
