--- a/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
@@ -6,6 +6,7 @@
 import io.kumquattrail.measure.limit.LimitsMeasurement
 import io.kumquattrail.measure.routing.RoutingMeasurement
 import io.kumquattrail.measure.zone.ZoneMeasurement
+import io.kumquattrail.measure.warning.WarningsMeasurement
 
 /** Lists all measurements that the command line offers. */
 object Measurements {
@@ -17,6 +18,7 @@
             RoutingMeasurement(),
             ZoneMeasurement(),
             StepSkewMeasurement(),
+            WarningsMeasurement,
         )
 
     /** Finds the measurement called [name], or `null`. */
