--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/placement/IncrementalPlacement.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/placement/IncrementalPlacement.kt
@@ -23,6 +23,8 @@
  * @property movesPerLayer bound on the moves of one plan, averaged over the layers.
  * @property trialsPerLayer bound on the moves that are tried out in one plan, averaged over the layers.
  * @property candidateRanks ranks with little load that are tried for each move.
+ * @property candidateExperts experts of a loaded rank that are tried for each move.
+ * @property hotRanks loaded ranks that are tried for each move.
  * @property sweeps bound on the passes in which shares are balanced.
  */
 data class IncrementalSettings(
@@ -34,8 +36,10 @@
     val noiseGainMaximum: Double = 0.02,
     val moveValueRatio: Double = 2.0,
     val movesPerLayer: Int = 12,
-    val trialsPerLayer: Int = 60,
-    val candidateRanks: Int = 4,
+    val trialsPerLayer: Int = 160,
+    val candidateRanks: Int = 8,
+    val candidateExperts: Int = 4,
+    val hotRanks: Int = 6,
     val sweeps: Int = 24,
 )
 
@@ -172,7 +176,7 @@
         return chosen
     }
 
-    /** Makes the best move for the most loaded rank and returns how many expert copies it loads, or 0. */
+    /** Makes the best move for one of the most loaded ranks and returns how many expert copies it loads, or 0. */
     private fun move(
         plan: LayerPlan,
         target: Double,
@@ -180,14 +184,32 @@
         budget: Budget,
     ): Int {
         val ranks = plan.ranksByLoad()
-        val hot = ranks.last()
-        if (plan.relativeLoad(hot) <= target) return 0
-        val hotSlots =
-            plan
-                .slotsOf(hot)
-                .filter { plan.expertAt(it) != LayerPlacement.EMPTY && plan.flowAt(it) > 0 }
-                .sortedByDescending { plan.flowAt(it) }
-                .take(CANDIDATE_EXPERTS)
+        for (index in ranks.indices.reversed().take(settings.hotRanks)) {
+            val hot = ranks[index]
+            if (plan.relativeLoad(hot) <= target) return 0
+            val hotSlots =
+                plan
+                    .slotsOf(hot)
+                    .filter { plan.expertAt(it) != LayerPlacement.EMPTY && plan.flowAt(it) > 0 }
+                    .sortedByDescending { plan.flowAt(it) }
+                    .take(settings.candidateExperts)
+            val moves =
+                replicate(plan, hotSlots, ranks, target, popularity, budget)
+                    .let { if (it > 0) it else exchange(plan, hot, hotSlots, ranks, target, budget) }
+            if (moves > 0) return moves
+        }
+        return 0
+    }
+
+    /** Adds a replica of one of the experts in [hotSlots] on a rank with little load. */
+    private fun replicate(
+        plan: LayerPlan,
+        hotSlots: List<Int>,
+        ranks: IntArray,
+        target: Double,
+        popularity: LayerPopularity,
+        budget: Budget,
+    ): Int {
         var bestExcess = plan.excess(target) * (1 - SMALLEST_IMPROVEMENT)
         var bestSlot = -1
         var bestExpert = LayerPlacement.EMPTY
@@ -210,7 +232,7 @@
                 }
             }
         }
-        if (bestSlot < 0) return exchange(plan, hot, hotSlots, ranks, target, budget)
+        if (bestSlot < 0) return 0
         if (plan.expertAt(bestSlot) != LayerPlacement.EMPTY) budget.staging[plan.rankOf(bestSlot)] -= 1
         plan.replace(bestSlot, bestExpert)
         plan.balanceAround(bestExpert)
@@ -275,7 +297,6 @@
     private companion object {
         const val CHECKPOINT_MOVES = 4
         const val MOVES_LIMIT_FACTOR = 4
-        const val CANDIDATE_EXPERTS = 2
         const val NEGLIGIBLE = 1e-6
         const val SMALLEST_IMPROVEMENT = 1e-4
     }
