--- a/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
@@ -1,6 +1,7 @@
 package io.kumquattrail.measure
 
 import io.kumquattrail.measure.expert.MapSwitchMeasurement
+import io.kumquattrail.measure.expert.RebalanceCostMeasurement
 import io.kumquattrail.measure.expert.StepSkewMeasurement
 
 /** Lists all measurements that the command line offers. */
@@ -8,6 +9,7 @@
     val all: List<Measurement> =
         listOf(
             MapSwitchMeasurement(),
+            RebalanceCostMeasurement(),
             StepSkewMeasurement(),
         )
 
