--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/change/MapGuard.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/change/MapGuard.kt
@@ -456,6 +456,7 @@
             val report = engine ?: return@buildList
             val needed = neededVersions()
             contents.keys.retainAll { it in needed }
+            loadRequested.keys.retainAll { it.version in needed }
             needed.filter { it != pending?.map?.version }.forEach { load(it, now, this) }
             report.maps
                 .filter { it.id.version !in needed }
