--- a/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
@@ -1,6 +1,7 @@
 package io.kumquattrail.measure
 
 import io.kumquattrail.measure.expert.MapSwitchMeasurement
+import io.kumquattrail.measure.expert.RebalanceCostMeasurement
 import io.kumquattrail.measure.expert.StepSkewMeasurement
 import io.kumquattrail.measure.idempotency.AtMostOnceMeasurement
 import io.kumquattrail.measure.limit.LimitsMeasurement
@@ -17,6 +18,7 @@
             MapSwitchMeasurement(),
             RoutingMeasurement(),
             ZoneMeasurement(),
+            RebalanceCostMeasurement(),
             StepSkewMeasurement(),
             WarningsMeasurement,
         )
