Measure configuration and fetch pending announcements

Cause: the measurement runs the real exchange policy in up to 1,200 processes. A draft of ExchangePolicySpec showed that a revision announced while another answer was awaited was fetched only at the next comparison; pending announcements are now fetched as soon as an answer, a failure or a timeout ends the wait. Lookups of record keys took most of the run time, so keys keep their hash code.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/configuration/ConfigurationState.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/configuration/ConfigurationState.kt
@@ -32,6 +32,8 @@
         private set
 
     private val newest = HashMap<EntryKey, PublishedEntry>()
+
+    // Holds the version in effect of each record whose newest version is rejected.
     private val lastValid = HashMap<EntryKey, PublishedEntry>()
     private val rejections = LinkedHashMap<EntryKey, RejectedEntry>()
     private val generations = HashMap<EntryKey, List<KeyOwnerGeneration>>()
@@ -92,17 +94,18 @@
             .sortedBy { it.revision }
             .forEach { entry ->
                 log += entry
-                newest[entry.key] = entry
+                val replaced = newest.put(entry.key, entry)
                 read(entry).fold(
                     success = { record ->
                         builder[record.key] = record
-                        lastValid[entry.key] = entry
+                        lastValid.remove(entry.key)
                         rejections.remove(entry.key)
                         rejectedNow.remove(entry.key)
                         if (record is ServiceRecord) generations[entry.key] = record.keyOwners
                         changed += entry.key
                     },
                     failure = { reason ->
+                        if (replaced != null && entry.key !in rejections) lastValid[entry.key] = replaced
                         val rejection = RejectedEntry(entry.key, entry.revision, reason)
                         rejections[entry.key] = rejection
                         rejectedNow[entry.key] = rejection
--- a/decision/src/main/kotlin/io/kumquattrail/decision/configuration/ExchangePolicy.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/configuration/ExchangePolicy.kt
@@ -79,6 +79,7 @@
     fun tick(now: MonotonicTime): List<ExchangeAction> =
         buildList {
             awaited?.let { if (it.until <= now) awaited = null }
+            fetch(now)
             if (starting) continueStart(now)
             if (nextComparison <= now) compare(now)
             if (pushDue?.let { it <= now } == true) push(now)
@@ -108,6 +109,7 @@
         return take(message, now) +
             buildList {
                 if (wasComparison && message.revision < state.revision) add(supply(message))
+                fetch(now)
                 if (starting) continueStart(now)
             }
     }
@@ -119,7 +121,10 @@
     ): List<ExchangeAction> {
         if (awaited?.peer == peer) awaited = null
         if (announced?.peer == peer) announced = null
-        return buildList { if (starting) continueStart(now) }
+        return buildList {
+            fetch(now)
+            if (starting) continueStart(now)
+        }
     }
 
     /** Takes in an answer of the configuration service; a watch that ran out answers with an empty delta. */
--- a/decision/src/main/kotlin/io/kumquattrail/decision/configuration/PublishedEntry.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/configuration/PublishedEntry.kt
@@ -12,7 +12,7 @@
     val revision: Long,
     val value: PublishedValue,
 ) {
-    val key: EntryKey get() = EntryKey(kind, name)
+    val key: EntryKey = EntryKey(kind, name)
 }
 
 /** Identifies a published entry by the label of its kind and by its name. */
@@ -20,6 +20,11 @@
     val kind: String,
     val name: String,
 ) {
+    // Processes look up thousands of keys at each start.
+    private val hash = 31 * kind.hashCode() + name.hashCode()
+
+    override fun hashCode(): Int = hash
+
     override fun toString(): String = "$kind/$name"
 }
 
--- a/decision/src/main/kotlin/io/kumquattrail/decision/configuration/ServiceReadSchedule.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/configuration/ServiceReadSchedule.kt
@@ -102,11 +102,11 @@
     }
 
     // Agents without organisation records cannot supply gateways, so the readers of a zone are gateways where it has any.
-    private fun readers(peers: Collection<Peer>): List<Peer> {
-        val zone = (peers + self).filter { it.zone == self.zone }
-        val candidates = zone.filter { it.subscription == RecordSubscription.ALL }.ifEmpty { zone }
-        return RendezvousHash.rank("readers/${self.zone}", candidates) { it.name.value }.take(settings.readersPerZone)
-    }
+    private fun readers(peers: Collection<Peer>): List<Peer> =
+        RendezvousHash
+            .rank("readers/${self.zone}", (peers + self).filter { it.zone == self.zone }) { it.name.value }
+            .sortedBy { it.subscription.excludedKinds.size }
+            .take(settings.readersPerZone)
 
     private fun otherInterval(): Duration =
         maxOf(settings.otherReadInterval, settings.otherReadSpacing * fleetProcesses)
--- a/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
@@ -1,9 +1,15 @@
 package io.kumquattrail.measure
 
+import io.kumquattrail.measure.fleet.ConfigurationMeasurement
+import io.kumquattrail.measure.fleet.MembershipMeasurement
+
 /** Lists all measurements that the command line offers. */
 object Measurements {
     val all: List<Measurement> =
-        listOf()
+        listOf(
+            ConfigurationMeasurement,
+            MembershipMeasurement,
+        )
 
     /** Finds the measurement called [name], or `null`. */
     fun find(name: String): Measurement? = all.find { it.name == name }
