--- a/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
@@ -8,6 +8,8 @@
 import io.kumquattrail.measure.routing.RoutingMeasurement
 import io.kumquattrail.measure.zone.ZoneMeasurement
 import io.kumquattrail.measure.warning.WarningsMeasurement
+import io.kumquattrail.measure.fleet.ConfigurationMeasurement
+import io.kumquattrail.measure.fleet.MembershipMeasurement
 
 /** Lists all measurements that the command line offers. */
 object Measurements {
@@ -21,6 +23,8 @@
             RebalanceCostMeasurement(),
             StepSkewMeasurement(),
             WarningsMeasurement,
+            ConfigurationMeasurement,
+            MembershipMeasurement,
         )
 
     /** Finds the measurement called [name], or `null`. */
