--- a/agent/src/main/kotlin/io/kumquattrail/agent/AgentProcess.kt
+++ b/agent/src/main/kotlin/io/kumquattrail/agent/AgentProcess.kt
@@ -11,12 +11,11 @@
 import io.kumquattrail.decision.admission.AdmissionEvent
 import io.kumquattrail.decision.admission.ColdSign
 import io.kumquattrail.decision.admission.DrainState
+import io.kumquattrail.decision.admission.LoadReport
 import io.kumquattrail.decision.admission.limits
 import io.kumquattrail.decision.configuration.RecordSubscription
 import io.kumquattrail.decision.idempotency.KeyTable
 import io.kumquattrail.decision.idempotency.KeyTableLimits
-import io.kumquattrail.decision.identity.Incarnation
-import io.kumquattrail.decision.identity.ProcessName
 import io.kumquattrail.decision.identity.ServerName
 import io.kumquattrail.decision.limit.FairQueue
 import io.kumquattrail.decision.record.BackendServerRecord
@@ -24,24 +23,13 @@
 import io.kumquattrail.decision.timeline.ColdCause
 import io.kumquattrail.decision.timeline.DrainCause
 import io.kumquattrail.decision.timeline.TimelineEvent
+import io.kumquattrail.node.NodeRuntime
 import io.kumquattrail.node.clock.Clock
 import io.kumquattrail.node.clock.SystemClock
-import io.kumquattrail.node.configuration.ConfigurationExchange
-import io.kumquattrail.node.configuration.ConfigurationServiceClient
-import io.kumquattrail.node.configuration.ConfigurationSnapshot
-import io.kumquattrail.node.http.OperationsServer
 import io.kumquattrail.node.http.Readiness
 import io.kumquattrail.node.log.PartLogger
-import io.kumquattrail.node.metrics.NodeMetrics
-import io.kumquattrail.node.rpc.ChannelPool
-import io.kumquattrail.node.rpc.RpcServer
 import io.kumquattrail.node.settings.AgentSettings
-import io.kumquattrail.node.timeline.TimelineRecorder
 import io.vertx.core.Vertx
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
@@ -52,40 +40,19 @@
 /**
  * Runs beside one backend server and is the only process that sends it work.
  *
- * @property random source of incarnation, keys and jitter; a test may seed it.
+ * @param random source of incarnation, keys and jitter; a test may seed it.
  */
 class AgentProcess(
     private val settings: AgentSettings,
-    private val vertx: Vertx,
+    vertx: Vertx,
     private val clock: Clock = SystemClock,
-    private val random: Random,
+    random: Random,
 ) {
     private val log = PartLogger("agent")
-    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val server = ServerName(settings.server)
-    private val incarnation = Incarnation.random(random)
-    private val metrics = NodeMetrics()
-    private val timeline = TimelineRecorder(ProcessName(settings.node.rpc.toString()), settings.node.zone, clock)
-    private val channels = ChannelPool(settings.node.transportSecurity)
+    private val node = NodeRuntime(settings.node, vertx, clock, random, RecordSubscription.AGENT)
     private val backend = BackendClient(vertx, settings.backend)
-    private val service = ConfigurationServiceClient(vertx, settings.node.configurationServices, random)
-    private val controller = AdmissionController(incarnation, FairQueue())
-    private val admissions = AdmissionGate(controller, clock, Effects())
-    private val configuration =
-        ConfigurationExchange(
-            scope = scope,
-            self = ProcessName(settings.node.rpc.toString()),
-            zone = settings.node.zone,
-            subscription = RecordSubscription.AGENT,
-            service = service,
-            channels = channels,
-            clock = clock,
-            random = random,
-            metrics = metrics,
-            timeline = timeline,
-        )
-    private lateinit var rpc: RpcServer
-    private lateinit var operations: OperationsServer
+    private val admissions = AdmissionGate(AdmissionController(node.incarnation, FairQueue()), clock, Effects())
 
     @Volatile
     private var stopping = false
@@ -94,90 +61,78 @@
     private var drainStartedAt: MonotonicTime? = null
 
     /** Load of the backend server as the agent knows it. */
-    val load get() = admissions.loadReport()
+    val load: LoadReport get() = admissions.loadReport()
 
     /** Opens the ports and begins to take work as soon as the records describe the server. */
     suspend fun start() {
         val keyTable = lazy(::keyTable)
-        val keys = KeyGate(keyTable, configuration, clock)
-        val executor = WorkExecutor(incarnation, server, admissions, keys, backend, clock, scope, timeline)
+        val keys = KeyGate(keyTable, node.configuration, clock)
+        val executor = WorkExecutor(node, server, admissions, keys, backend)
         val work = WorkRpc(service = { ownRecord()?.service }, executor, admissions, keys)
-        val services = listOf(work, configuration.rpc, timeline.rpc)
-        rpc = RpcServer(settings.node.rpc, services, settings.node.transportSecurity)
-        rpc.start()
+        node.openRpc(listOf(work))
         // Read now and not at the first call, whose own key would otherwise be older than this table.
         keyTable.value
-        operations = OperationsServer(vertx, settings.node.operations, metrics, AgentReadiness())
-        operations.start()
-        scope.launch { configuration.current.collect(::recordsChanged) }
-        scope.launch { tick() }
-        configuration.start()
-        log.info("started", "server" to server, "incarnation" to incarnation, "backend" to settings.backend)
+        node.scope.launch { node.configuration.current.collect { serviceChanged() } }
+        node.scope.launch { node.membership.isLeaving.collect { serviceChanged() } }
+        node.scope.launch { tick() }
+        node.start(AgentReadiness())
+        log.info("started", "server" to server, "incarnation" to node.incarnation, "backend" to settings.backend)
     }
 
     /** Takes no new work, waits for work in progress to end, then closes. */
     suspend fun shutdown() {
         stopping = true
         log.info("draining", "running" to load.running)
-        recordsChanged(configuration.current.value)
+        serviceChanged()
         withTimeoutOrNull(settings.node.drainTimeout) {
             while (admissions.drainState == DrainState.DRAINING) delay(DRAIN_POLL)
         }
-        rpc.stop(settings.node.drainTimeout)
-        close()
+        node.stop(settings.node.drainTimeout)
+        backend.close()
         log.info("stopped")
     }
 
     /** Closes at once, as a process that dies does. */
     suspend fun kill() {
-        rpc.kill()
-        close()
-    }
-
-    private suspend fun close() {
-        scope.cancel()
-        operations.stop()
+        node.kill()
         backend.close()
-        service.close()
-        channels.close()
     }
 
     // Created after the published address is bound, so that no earlier agent of this address still runs.
     private fun keyTable(): KeyTable =
         KeyTable(
             server = server,
-            incarnation = incarnation,
+            incarnation = node.incarnation,
             startedAt = clock.wall(),
-            random = random,
+            random = node.random,
             limits = KeyTableLimits(keyClockError = settings.keyClockError),
         )
 
-    private fun ownRecord(): BackendServerRecord? =
-        configuration.current.value.records
-            .server(server)
+    private fun ownRecord(): BackendServerRecord? = node.records.server(server)
 
-    private fun recordsChanged(snapshot: ConfigurationSnapshot) {
-        val record = snapshot.records.server(server) ?: return
-        val inService = !stopping && snapshot.records.mayReceiveWork(record)
-        noteDrainStart(record, inService, snapshot)
-        admissions.report(AdmissionEvent.RecordsChanged(record.limits(), inService, snapshot.records.revision))
+    private fun serviceChanged() {
+        val records = node.records
+        val record = records.server(server) ?: return
+        val cause =
+            when {
+                stopping -> DrainCause.PROCESS_STOPPING
+                node.membership.isLeaving.value -> DrainCause.VM_LEAVING
+                records.zone(record.zone)?.inService != true -> DrainCause.ZONE_OUT_OF_SERVICE
+                !record.inService -> DrainCause.SERVER_OUT_OF_SERVICE
+                else -> null
+            }
+        noteDrainStart(record, cause)
+        admissions.report(AdmissionEvent.RecordsChanged(record.limits(), inService = cause == null, records.revision))
     }
 
     private fun noteDrainStart(
         record: BackendServerRecord,
-        inService: Boolean,
-        snapshot: ConfigurationSnapshot,
+        cause: DrainCause?,
     ) {
-        if (inService) drainStartedAt = null
-        if (inService || drainStartedAt != null) return
+        if (cause == null) drainStartedAt = null
+        if (cause == null || drainStartedAt != null) return
         drainStartedAt = clock.monotonic()
-        val cause =
-            when {
-                stopping -> DrainCause.PROCESS_STOPPING
-                snapshot.records.zone(record.zone)?.inService != true -> DrainCause.ZONE_OUT_OF_SERVICE
-                else -> DrainCause.SERVER_OUT_OF_SERVICE
-            }
-        timeline.record(TimelineEvent.DrainStarted(server.value, record.zone, cause, load.running))
+        node.timeline.record(TimelineEvent.DrainStarted(server.value, record.zone, cause, load.running))
     }
 
     private suspend fun tick() {
@@ -185,14 +140,14 @@
             delay(TICK_INTERVAL)
             admissions.report(AdmissionEvent.Tick)
             val report = load
-            metrics.running.set(report.running.toDouble())
-            metrics.cold.set(if (report.cold) 1.0 else 0.0)
+            node.metrics.running.set(report.running.toDouble())
+            node.metrics.cold.set(if (report.cold) 1.0 else 0.0)
         }
     }
 
     private inner class Effects : AdmissionEffects {
         override fun readServer() {
-            scope.launch {
+            node.scope.launch {
                 val readStartedAt = clock.monotonic()
                 val status = backend.status() ?: return@launch
                 val observed = AdmissionEvent.ServerObserved(status.incarnation, status.running, null, readStartedAt)
@@ -201,16 +156,20 @@
         }
 
         override fun confirmRecords() {
-            scope.launch { if (configuration.confirm()) admissions.report(AdmissionEvent.RecordsConfirmed) }
+            node.scope.launch { if (node.configuration.confirm()) admissions.report(AdmissionEvent.RecordsConfirmed) }
         }
 
-        override fun noteCold(action: AdmissionAction.NoteCold) =
-            log.info(
-                "server counts as cold",
-                "sign" to action.sign,
-            )
+        override fun noteCold(action: AdmissionAction.NoteCold) {
+            log.info("server counts as cold", "sign" to action.sign)
+            val limit = load.concurrencyLimit
+            node.timeline.record(TimelineEvent.ServerCold(server, settings.node.zone, action.sign.toCause(), limit))
+        }
 
-        override fun noteDrained() = log.info("drained")
+        override fun noteDrained() {
+            log.info("drained")
+            val after = drainStartedAt?.let { clock.monotonic() - it } ?: Duration.ZERO
+            node.timeline.record(TimelineEvent.DrainFinished(server.value, settings.node.zone, after))
+        }
     }
 
     private inner class AgentReadiness : Readiness {
@@ -221,7 +180,7 @@
             }
 
         override fun remarks(): List<String> =
-            if (configuration.current.value.confirmed) emptyList() else listOf("unconfirmed")
+            if (node.configuration.current.value.confirmed) emptyList() else listOf("unconfirmed")
     }
 
     private companion object {
--- a/agent/src/main/kotlin/io/kumquattrail/agent/work/FrameFactory.kt
+++ b/agent/src/main/kotlin/io/kumquattrail/agent/work/FrameFactory.kt
@@ -71,6 +71,7 @@
         detail: String,
         serverCrashed: Boolean = false,
         suspects: List<String> = emptyList(),
+        alone: Boolean = false,
     ): ExecuteFrame =
         frame()
             .setBroken(
@@ -78,7 +79,8 @@
                     .newBuilder()
                     .setDetail(detail)
                     .setServerCrashed(serverCrashed)
-                    .addAllSuspects(suspects),
+                    .addAllSuspects(suspects)
+                    .setAlone(alone),
             ).setLoad(load().toMessage())
             .build()
 
--- a/agent/src/main/kotlin/io/kumquattrail/agent/work/WorkExecutor.kt
+++ b/agent/src/main/kotlin/io/kumquattrail/agent/work/WorkExecutor.kt
@@ -20,13 +20,13 @@
 import io.kumquattrail.decision.identity.ServiceName
 import io.kumquattrail.decision.refusal.RefusalReason
 import io.kumquattrail.decision.refusal.RunState
+import io.kumquattrail.decision.suspect.Crash
+import io.kumquattrail.decision.suspect.Treatment
 import io.kumquattrail.decision.timeline.KeyDecision
 import io.kumquattrail.decision.timeline.TimelineEvent
-import io.kumquattrail.node.clock.Clock
-import io.kumquattrail.node.timeline.TimelineRecorder
+import io.kumquattrail.node.NodeRuntime
 import io.kumquattrail.protocol.v1.ExecuteFrame
 import io.kumquattrail.protocol.v1.ExecuteRequest
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.channels.SendChannel
@@ -41,19 +41,17 @@
 
 /**
  * Runs attempts at the backend server: key table, admission, sending, and the frames of the answer.
- *
- * @property scope outlives single calls, so that unrepeatable work ends and its answer is kept after its gateway is gone.
  */
 class WorkExecutor(
-    private val incarnation: Incarnation,
+    private val node: NodeRuntime,
     private val server: ServerName,
     private val admissions: AdmissionGate,
     private val keys: KeyGate,
     private val backend: BackendClient,
-    private val clock: Clock,
-    private val scope: CoroutineScope,
-    private val timeline: TimelineRecorder,
 ) {
+    private val incarnation = node.incarnation
+    private val clock = node.clock
+    private val timeline = node.timeline
     private val fingerprintsInFlight = ConcurrentHashMap<WorkId, String>()
 
     /** Runs one attempt; cancelling the collection cancels repeatable work only. */
@@ -73,7 +71,8 @@
         request: ExecuteRequest,
         frames: Channel<ExecuteFrame>,
     ): Job =
-        scope.launch {
+        // The node's scope outlives the call, so that unrepeatable work ends and its answer is kept when the gateway dies.
+        node.scope.launch {
             val attempt = Attempt(request, FrameFactory(request, incarnation, admissions::loadReport), frames)
             try {
                 if (request.idempotencyKey.isEmpty()) attempt.admitAndRun(round = null) else attempt.beginKey()
@@ -88,6 +87,8 @@
         private val frames: SendChannel<ExecuteFrame>,
     ) {
         private val id = WorkId(request.requestId, request.attempt)
+        private val treatment = node.suspects.treatment(request.fingerprint)
+        private val runAlone = request.runAlone || treatment is Treatment.Alone
         private val answer = AnswerBuffer()
         private val splitter = EventStreamSplitter()
         private var status = 0
@@ -122,6 +123,11 @@
                     }
 
                     Admission.Granted -> {
+                        val blocked = node.suspects.treatment(request.fingerprint) as? Treatment.Blocked
+                        if (blocked != null) {
+                            admissions.report(AdmissionEvent.WorkWithdrawn(id))
+                            return sendBlocked(round, blocked)
+                        }
                         when (val decision = admissions.recheck(id)) {
                             is SendDecision.Send -> {
                                 sent = true
@@ -177,6 +183,15 @@
             send(factory.notRun(reason, detail, retryAfter, ticket?.round))
         }
 
+        private suspend fun sendBlocked(
+            round: Int?,
+            blocked: Treatment.Blocked,
+        ) {
+            val ticket = round?.let { keys.failedBeforeSending(request.idempotencyKey, it) }
+            val reason = RefusalReason.REQUEST_CRASHES_SERVERS
+            send(factory.notRun(reason, CRASH_DETAIL, blocked.remaining, ticket?.round))
+        }
+
         private suspend fun run(round: Int?) {
             fingerprintsInFlight[id] = request.fingerprint
             var outcome = WorkOutcome.CANCELLED
@@ -227,7 +242,8 @@
                     send(factory.chunk(event, tokenOffset = tokens, tokenCount = 1))
                     tokens += 1
                 } else {
-                    send(factory.chunk(event))
+                    // Every chunk of a token stream has an offset; without one the stream could not be resumed.
+                    send(factory.chunk(event, tokenOffset = tokens))
                 }
             }
         }
@@ -238,7 +254,9 @@
             notSent: Boolean,
         ) {
             val crashed = outcome == WorkOutcome.BROKEN
-            val suspects = if (crashed) fingerprintsInFlight.values.toList() else emptyList()
+            val suspects = if (crashed) fingerprintsInFlight.values.toSet() else emptySet()
+            if (crashed) node.suspects.crashed(Crash(incarnation, suspects, alone = runAlone))
+            if (outcome == WorkOutcome.COMPLETED) node.suspects.completed(request.fingerprint)
             fingerprintsInFlight.remove(id)
             if (request.stream) admissions.report(AdmissionEvent.OutputProgress(id, tokens - request.resumeAfterTokens))
             admissions.report(AdmissionEvent.WorkEnded(id, if (notSent) WorkOutcome.BROKEN else outcome))
@@ -316,7 +334,7 @@
                 organisationWeight = request.organisationWeight.coerceAtLeast(1),
                 priority = request.priority,
                 fingerprint = request.fingerprint,
-                runAlone = request.runAlone,
+                runAlone = runAlone,
             )
 
         private fun backendCall(): BackendCall {
@@ -347,6 +365,7 @@
     private companion object {
         const val FRAME_BUFFER = 64
         const val FIRST_SERVER_ERROR = 500
+        const val CRASH_DETAIL = "The request crashed backend servers that ran it."
         const val RESUME_HEADER = "X-Resume-After-Tokens"
         val HOP_BY_HOP_HEADERS =
             setOf("connection", "keep-alive", "transfer-encoding", "content-length", "upgrade", "te")
--- a/gateway/src/main/kotlin/io/kumquattrail/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/kumquattrail/gateway/GatewayProcess.kt
@@ -4,13 +4,13 @@
 import io.grpc.StatusException
 import io.kumquattrail.decision.configuration.RecordSubscription
 import io.kumquattrail.decision.delivery.RetryPolicy
-import io.kumquattrail.decision.identity.ProcessName
 import io.kumquattrail.decision.identity.ServiceName
 import io.kumquattrail.decision.limit.RetryBudget
 import io.kumquattrail.decision.record.RecordSet
 import io.kumquattrail.decision.refusal.Refusal
 import io.kumquattrail.decision.refusal.RefusalReason
 import io.kumquattrail.decision.refusal.RunState
+import io.kumquattrail.decision.suspect.Treatment
 import io.kumquattrail.gateway.call.AttemptSender
 import io.kumquattrail.gateway.call.CallEnd
 import io.kumquattrail.gateway.call.CallRunner
@@ -26,18 +26,12 @@
 import io.kumquattrail.gateway.request.RequestIdentifier
 import io.kumquattrail.gateway.request.RequestParser
 import io.kumquattrail.gateway.request.then
+import io.kumquattrail.node.NodeRuntime
 import io.kumquattrail.node.clock.Clock
 import io.kumquattrail.node.clock.SystemClock
-import io.kumquattrail.node.configuration.ConfigurationExchange
-import io.kumquattrail.node.configuration.ConfigurationServiceClient
-import io.kumquattrail.node.http.OperationsServer
 import io.kumquattrail.node.http.Readiness
 import io.kumquattrail.node.log.PartLogger
-import io.kumquattrail.node.metrics.NodeMetrics
-import io.kumquattrail.node.rpc.ChannelPool
-import io.kumquattrail.node.rpc.RpcServer
 import io.kumquattrail.node.settings.GatewaySettings
-import io.kumquattrail.node.timeline.TimelineRecorder
 import io.kumquattrail.protocol.v1.IssueKeysRequest
 import io.kumquattrail.protocol.v1.WorkServiceGrpcKt
 import io.vertx.core.Vertx
@@ -45,10 +39,6 @@
 import io.vertx.core.json.JsonArray
 import io.vertx.core.json.JsonObject
 import io.vertx.ext.web.RoutingContext
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.cancel
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
@@ -65,33 +55,15 @@
     private val random: Random,
 ) : RequestHandler {
     private val log = PartLogger("gateway")
-    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val metrics = NodeMetrics()
-    private val timeline = TimelineRecorder(ProcessName(settings.node.rpc.toString()), settings.node.zone, clock)
-    private val channels = ChannelPool(settings.node.transportSecurity)
-    private val service = ConfigurationServiceClient(vertx, settings.node.configurationServices, random)
-    private val configuration =
-        ConfigurationExchange(
-            scope = scope,
-            self = ProcessName(settings.node.rpc.toString()),
-            zone = settings.node.zone,
-            subscription = RecordSubscription.ALL,
-            service = service,
-            channels = channels,
-            clock = clock,
-            random = random,
-            metrics = metrics,
-            timeline = timeline,
-        )
-    private val selection = ServerSelection.byTokenCost(configuration, clock, settings.node.zone, random)
+    private val node = NodeRuntime(settings.node, vertx, clock, random, RecordSubscription.ALL)
+    private val selection = ServerSelection.byTokenCost(node, settings.node.zone)
     private val budget = RetryBudget()
-    private val sender =
-        AttemptSender(settings.node.rpc.toString(), configuration, selection, channels, clock, metrics, timeline)
+    private val sender = AttemptSender(node, selection)
     private val calls =
         CallRunner(sender, RetryPolicy({ now -> synchronized(budget) { budget.tryRetry(now) } }), clock)
     private val parser = RequestParser(settings.defaultTimeout, settings.longestTimeout)
     private val identifier = RequestIdentifier(::records)
-    private val classifier = CallClassifier { configuration.current.value }
+    private val classifier = CallClassifier { node.configuration.current.value }
     private val requestPrefix = java.lang.Long.toHexString(random.nextLong())
     private val requestCount = AtomicLong()
     private val callers = CallerServer(vertx, settings, this)
@@ -107,9 +79,8 @@
 
     /** Opens the ports and returns the port for callers. */
     suspend fun start(): Int {
-        rpc.start()
-        operations.start()
-        configuration.start()
+        node.openRpc(emptyList())
+        node.start(GatewayReadiness())
         val port = callers.start()
         log.info("started", "zone" to settings.node.zone, "callers" to settings.callers.copy(port = port))
         return port
@@ -120,16 +91,14 @@
         stopping = true
         log.info("draining")
         callers.stop(settings.node.drainTimeout)
-        rpc.stop(settings.node.drainTimeout)
-        close()
+        node.stop(settings.node.drainTimeout)
         log.info("stopped")
     }
 
     /** Closes at once, as a process that dies does. */
     suspend fun kill() {
         callers.kill()
-        rpc.kill()
-        close()
+        node.kill()
     }
 
     override suspend fun handle(
@@ -180,7 +149,7 @@
     ): List<String>? {
         val servers = records().serversByService[service].orEmpty().filter(records()::mayReceiveWork)
         for (server in servers.shuffled(random)) {
-            val stub = WorkServiceGrpcKt.WorkServiceCoroutineStub(channels.channel(server.address))
+            val stub = WorkServiceGrpcKt.WorkServiceCoroutineStub(node.channels.channel(server.address))
             val message =
                 IssueKeysRequest
                     .newBuilder()
@@ -213,20 +182,31 @@
                 )
             }
         val end = calls.run(requestId, request, sink, refusal)
-        metrics.requests.labelValues(request.identified.request.service.value, end.name.lowercase()).inc()
+        node.metrics.requests
+            .labelValues(request.identified.request.service.value, end.name.lowercase())
+            .inc()
         return end
     }
 
-    private fun records(): RecordSet = configuration.current.value.records
+    private fun localRefusal(request: ClassifiedRequest): Refusal? =
+        when (val treatment = node.suspects.treatment(request.fingerprint)) {
+            is Treatment.Blocked -> {
+                Refusal(
+                    reason = RefusalReason.REQUEST_CRASHES_SERVERS,
+                    runState = RunState.NO,
+                    detail = "The request crashed backend servers that ran it.",
+                    retryAfter = treatment.remaining,
+                )
+            }
 
-    private fun ready(): Boolean = records().revision > 0
+            Treatment.Alone, Treatment.Normal -> {
+                null
+            }
+        }
 
-    private suspend fun close() {
-        scope.cancel()
-        operations.stop()
-        service.close()
-        channels.close()
-    }
+    private fun records(): RecordSet = node.records
+
+    private fun ready(): Boolean = records().revision > 0
 
     private inner class GatewayReadiness : Readiness {
         override fun missing(): List<String> =
@@ -236,7 +216,7 @@
             }
 
         override fun remarks(): List<String> =
-            if (configuration.current.value.confirmed) emptyList() else listOf("unconfirmed")
+            if (node.configuration.current.value.confirmed) emptyList() else listOf("unconfirmed")
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/io/kumquattrail/gateway/call/AttemptSender.kt
+++ b/gateway/src/main/kotlin/io/kumquattrail/gateway/call/AttemptSender.kt
@@ -7,18 +7,19 @@
 import io.kumquattrail.decision.delivery.CallEvent
 import io.kumquattrail.decision.delivery.FrameContent
 import io.kumquattrail.decision.delivery.WorkKind
+import io.kumquattrail.decision.identity.Incarnation
 import io.kumquattrail.decision.record.BackendServerRecord
 import io.kumquattrail.decision.routing.AssignmentEnd
+import io.kumquattrail.decision.suspect.Crash
+import io.kumquattrail.decision.suspect.LoneRunPlacement
+import io.kumquattrail.decision.suspect.Treatment
 import io.kumquattrail.decision.time.MonotonicTime
 import io.kumquattrail.decision.timeline.TimelineEvent
 import io.kumquattrail.gateway.request.ClassifiedRequest
-import io.kumquattrail.node.clock.Clock
-import io.kumquattrail.node.configuration.ConfigurationView
-import io.kumquattrail.node.metrics.NodeMetrics
-import io.kumquattrail.node.rpc.ChannelPool
-import io.kumquattrail.node.timeline.TimelineRecorder
+import io.kumquattrail.node.NodeRuntime
 import io.kumquattrail.protocol.toFrame
 import io.kumquattrail.protocol.toLoadReport
+import io.kumquattrail.protocol.v1.ExecuteFrame
 import io.kumquattrail.protocol.v1.ExecuteRequest
 import io.kumquattrail.protocol.v1.ReleaseKeyRequest
 import io.kumquattrail.protocol.v1.WorkServiceGrpcKt
@@ -27,13 +28,8 @@
 
 /** Sends the attempts of calls to agents and reports what comes back as events. */
 class AttemptSender(
-    private val gateway: String,
-    private val configuration: ConfigurationView,
+    private val node: NodeRuntime,
     private val selection: ServerSelection,
-    private val channels: ChannelPool,
-    private val clock: Clock,
-    private val metrics: NodeMetrics,
-    private val timeline: TimelineRecorder,
 ) {
     /** Sends [attempt] of [request] and reports everything that follows to [report], until the attempt has ended. */
     suspend fun send(
@@ -56,7 +52,9 @@
             end = exchange(requestId, request, attempt, server, deadline, report)
         } finally {
             selection.ended(server, end)
-            metrics.attempts.labelValues(server.record.service.value, label(end)).inc()
+            node.metrics.attempts
+                .labelValues(server.record.service.value, label(end))
+                .inc()
         }
     }
 
@@ -67,7 +65,7 @@
     ): CallEvent {
         val keyed = request.keyed ?: return CallEvent.ReleaseFailed
         val owner =
-            configuration.current.value.records
+            node.records
                 .server(release.owner) ?: return CallEvent.ReleaseFailed
         val message =
             ReleaseKeyRequest
@@ -91,20 +89,39 @@
         request: ClassifiedRequest,
         attempt: CallAction.SendAttempt,
     ): SelectedServer? {
-        val owner = attempt.owner ?: return selection.choose(request, attempt.excluded)
-        return configuration.current.value.records
+        val owner = attempt.owner ?: return chosen(request, attempt)
+        return node.records
             .server(owner)
             ?.let { SelectedServer(it, assignment = null) }
     }
 
+    // All gateways send a suspect to the same server first, whose agent knows best whether it has crashed the server.
+    private fun chosen(
+        request: ClassifiedRequest,
+        attempt: CallAction.SendAttempt,
+    ): SelectedServer? {
+        val alone = node.suspects.treatment(request.fingerprint) is Treatment.Alone
+        if (!alone) return selection.choose(request, attempt.excluded)
+        val records = node.records
+        val servers =
+            records.serversByService[request.identified.request.service].orEmpty().filter(
+                records::mayReceiveWork,
+            )
+        return LoneRunPlacement
+            .rank(request.fingerprint, servers.map { it.name })
+            .firstOrNull { it !in attempt.excluded }
+            ?.let(records::server)
+            ?.let { SelectedServer(it, assignment = null) }
+    }
+
     private fun recordRouting(
         requestId: String,
         request: ClassifiedRequest,
         attempt: CallAction.SendAttempt,
         server: BackendServerRecord,
     ) {
-        val candidates = configuration.current.value.records.serversByService[server.service]
-        timeline.record(
+        val candidates = node.records.serversByService[server.service]
+        node.timeline.record(
             TimelineEvent.RequestRouted(
                 request = requestId,
                 attempt = attempt.attempt,
@@ -134,6 +151,7 @@
             val message = message(requestId, request, attempt, deadline)
             val options = CallOptions.DEFAULT.withStreamTracerFactory(tracer)
             stub(server.record, options).execute(message).collect { received ->
+                if (received.hasBroken() && received.broken.serverCrashed) noteCrash(received)
                 if (received.hasLoad()) received.load.toLoadReport()?.let { selection.observed(server.record, it) }
                 val frame = received.toFrame() ?: return@collect
                 last = frame.content
@@ -152,6 +170,11 @@
         return end(last)
     }
 
+    private fun noteCrash(frame: ExecuteFrame) {
+        val agent = Incarnation.parse(frame.incarnation) ?: return
+        node.suspects.crashed(Crash(agent, frame.broken.suspectsList.toSet(), frame.broken.alone))
+    }
+
     private fun end(last: FrameContent?): AssignmentEnd =
         when (last) {
             is FrameContent.Finished -> AssignmentEnd.Completed
@@ -170,7 +193,7 @@
     private fun stub(
         server: BackendServerRecord,
         options: CallOptions = CallOptions.DEFAULT,
-    ) = WorkServiceGrpcKt.WorkServiceCoroutineStub(channels.channel(server.address), options)
+    ) = WorkServiceGrpcKt.WorkServiceCoroutineStub(node.channels.channel(server.address), options)
 
     private fun message(
         requestId: String,
@@ -180,7 +203,7 @@
     ): ExecuteRequest {
         val parsed = request.identified.request
         val organisation = request.identified.organisation
-        val timestamp = timeline.timestamp()
+        val timestamp = node.timeline.timestamp()
         return ExecuteRequest
             .newBuilder()
             .setRequestId(requestId)
@@ -191,8 +214,8 @@
             .setService(parsed.service.value)
             .setPromptTokens(parsed.cost.promptTokens)
             .setOutputTokens(parsed.cost.outputTokens)
-            .setRemainingMilliseconds((deadline - clock.monotonic()).inWholeMilliseconds.coerceAtLeast(0))
-            .setRevision(configuration.current.value.records.revision)
+            .setRemainingMilliseconds((deadline - node.clock.monotonic()).inWholeMilliseconds.coerceAtLeast(0))
+            .setRevision(node.records.revision)
             .setIdempotencyKey(
                 request.keyed
                     ?.key
@@ -206,8 +229,9 @@
             .setBody(UnsafeByteOperations.unsafeWrap(parsed.body))
             .setStream(parsed.stream)
             .setFingerprint(request.fingerprint)
+            .setRunAlone(node.suspects.treatment(request.fingerprint) is Treatment.Alone)
             .setResumeAfterTokens(attempt.resumeAfterTokens)
-            .setGateway(gateway)
+            .setGateway(node.name.value)
             .setClockMilliseconds(timestamp.milliseconds)
             .setClockCounter(timestamp.counter)
             .build()
--- a/gateway/src/main/kotlin/io/kumquattrail/gateway/call/ServerSelection.kt
+++ b/gateway/src/main/kotlin/io/kumquattrail/gateway/call/ServerSelection.kt
@@ -1,9 +1,12 @@
 package io.kumquattrail.gateway.call
 
 import io.kumquattrail.decision.admission.LoadReport
+import io.kumquattrail.decision.identity.ProcessName
 import io.kumquattrail.decision.identity.ServerName
 import io.kumquattrail.decision.identity.ServiceName
 import io.kumquattrail.decision.identity.ZoneName
+import io.kumquattrail.decision.membership.Member
+import io.kumquattrail.decision.membership.MemberState
 import io.kumquattrail.decision.record.BackendServerRecord
 import io.kumquattrail.decision.record.RecordSet
 import io.kumquattrail.decision.routing.Assignment
@@ -11,12 +14,12 @@
 import io.kumquattrail.decision.routing.RoutingDecision
 import io.kumquattrail.decision.routing.RoutingPolicy
 import io.kumquattrail.decision.routing.RoutingRequest
+import io.kumquattrail.decision.routing.RoutingTarget
 import io.kumquattrail.decision.routing.TokenCostRouting
 import io.kumquattrail.decision.routing.TokenCostSettings
 import io.kumquattrail.decision.routing.routingTarget
 import io.kumquattrail.gateway.request.ClassifiedRequest
-import io.kumquattrail.node.clock.Clock
-import io.kumquattrail.node.configuration.ConfigurationView
+import io.kumquattrail.node.NodeRuntime
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.random.Random
 
@@ -32,14 +35,14 @@
 
 /** Chooses servers by one [RoutingPolicy] for each service. May be used by many threads. */
 class ServerSelection(
-    private val configuration: ConfigurationView,
-    private val clock: Clock,
+    private val node: NodeRuntime,
     private val createPolicy: (ServiceName) -> RoutingPolicy,
 ) {
     private class Routed(
         val policy: RoutingPolicy,
     ) {
         var records: RecordSet? = null
+        var members: Map<ProcessName, Member>? = null
     }
 
     private val services = ConcurrentHashMap<ServiceName, Routed>()
@@ -50,7 +53,7 @@
         excluded: Set<ServerName>,
     ): SelectedServer? {
         val parsed = request.identified.request
-        val records = configuration.current.value.records
+        val records = node.records
         val routing =
             RoutingRequest(
                 promptTokens = parsed.cost.promptTokens,
@@ -60,7 +63,7 @@
                 excluded = excluded,
             )
         return withPolicy(parsed.service, records) { policy ->
-            when (val decision = policy.choose(routing, clock.monotonic())) {
+            when (val decision = policy.choose(routing, node.clock.monotonic())) {
                 is RoutingDecision.Chosen -> {
                     records.server(decision.assignment.server)?.let { SelectedServer(it, decision.assignment) }
                 }
@@ -75,7 +78,7 @@
     /** Notes that the first token or byte of the attempt's answer arrived. */
     fun firstToken(server: SelectedServer) {
         val assignment = server.assignment ?: return
-        change(server.record.service) { it.onFirstToken(assignment, clock.monotonic()) }
+        change(server.record.service) { it.onFirstToken(assignment, node.clock.monotonic()) }
     }
 
     /** Notes that the attempt ended. */
@@ -84,19 +87,19 @@
         end: AssignmentEnd,
     ) {
         val assignment = server.assignment ?: return
-        change(server.record.service) { it.onEnd(assignment, end, clock.monotonic()) }
+        change(server.record.service) { it.onEnd(assignment, end, node.clock.monotonic()) }
     }
 
     /** Notes a load report of the agent beside [server]. */
     fun observed(
         server: BackendServerRecord,
         load: LoadReport,
-    ) = change(server.service) { it.onLoadReport(server.name, load, clock.monotonic()) }
+    ) = change(server.service) { it.onLoadReport(server.name, load, node.clock.monotonic()) }
 
     private fun change(
         service: ServiceName,
         action: (RoutingPolicy) -> Unit,
-    ) = withPolicy(service, configuration.current.value.records, action)
+    ) = withPolicy(service, node.records, action)
 
     private fun <T> withPolicy(
         service: ServiceName,
@@ -115,16 +118,24 @@
         }
     }
 
+    private fun targets(
+        service: ServiceName,
+        records: RecordSet,
+        members: Map<ProcessName, Member>,
+    ): List<RoutingTarget> =
+        records.serversByService[service].orEmpty().map { record ->
+            val state = members[ProcessName(record.address)]?.state
+            record.routingTarget(records, leaving = state == MemberState.LEAVING || state == MemberState.DEAD)
+        }
+
     companion object {
         /** Creates a selection by token cost that prefers servers of [zone]. */
         fun byTokenCost(
-            configuration: ConfigurationView,
-            clock: Clock,
+            node: NodeRuntime,
             zone: ZoneName,
-            random: Random,
         ): ServerSelection =
-            ServerSelection(configuration, clock) {
-                TokenCostRouting(Random(random.nextLong()), TokenCostSettings(localZone = zone))
+            ServerSelection(node) {
+                TokenCostRouting(Random(node.random.nextLong()), TokenCostSettings(localZone = zone))
             }
     }
 }
--- a/node/src/main/kotlin/io/kumquattrail/node/configuration/ConfigurationExchange.kt
+++ b/node/src/main/kotlin/io/kumquattrail/node/configuration/ConfigurationExchange.kt
@@ -10,41 +10,38 @@
 import io.kumquattrail.decision.configuration.RecordSubscription
 import io.kumquattrail.decision.identity.ProcessName
 import io.kumquattrail.decision.identity.ZoneName
+import io.kumquattrail.decision.membership.Member
+import io.kumquattrail.decision.membership.MemberState
 import io.kumquattrail.decision.record.RecordKind
 import io.kumquattrail.decision.record.RecordSet
 import io.kumquattrail.decision.timeline.TimelineEvent
 import io.kumquattrail.node.clock.Clock
 import io.kumquattrail.node.log.PartLogger
+import io.kumquattrail.node.loop.DecisionLoop
 import io.kumquattrail.node.metrics.NodeMetrics
 import io.kumquattrail.node.rpc.ChannelPool
 import io.kumquattrail.node.timeline.TimelineRecorder
 import io.kumquattrail.protocol.v1.ExchangeServiceGrpcKt
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import io.kumquattrail.protocol.v1.ExchangeMessage as ExchangeMessageProto
 
 /**
  * Keeps the configuration in effect by reading the service and by exchange with peers.
  *
- * One coroutine owns the [ExchangePolicy]; everything else sends it commands.
- *
- * @property self address on which peers reach this process, once known.
+ * @property members processes with which records are exchanged.
+ * @property attachments further data that travels with the messages.
  */
 class ConfigurationExchange(
     private val scope: CoroutineScope,
-    private val self: ProcessName,
+    self: ProcessName,
     zone: ZoneName,
     subscription: RecordSubscription,
     private val service: ConfigurationServiceClient,
@@ -53,11 +50,14 @@
     random: Random,
     private val metrics: NodeMetrics,
     private val timeline: TimelineRecorder,
+    private val members: StateFlow<Map<ProcessName, Member>>,
+    private val attachments: List<ExchangeAttachment> = emptyList(),
 ) : ConfigurationView {
     private val log = PartLogger("node.configuration")
     private val state = ConfigurationState(PublishedRecordDecoder(), subscription)
     private val policy = ExchangePolicy(Peer(self, zone, subscription), state, random)
-    private val commands = Channel<() -> List<ExchangeAction>>(Channel.UNLIMITED)
+    private val loop =
+        DecisionLoop(clock, nextTick = { policy.nextTick }, tick = policy::tick, perform = ::perform)
     private val snapshots = MutableStateFlow(ConfigurationSnapshot())
 
     override val current: StateFlow<ConfigurationSnapshot> = snapshots.asStateFlow()
@@ -66,23 +66,12 @@
     val rpc: ExchangeServiceGrpcKt.ExchangeServiceCoroutineImplBase = Service()
 
     fun start() {
-        scope.launch { run() }
-        scope.launch { listPeers() }
+        loop.start(scope, policy::start)
+        scope.launch { members.collect { listed -> loop.submit { now -> policy.peersChanged(peers(listed), now) } } }
     }
 
     override suspend fun confirm(): Boolean = service.records(current.value.records.revision, Duration.ZERO).isOk
 
-    private suspend fun run() {
-        perform(policy.start(clock.monotonic()))
-        while (true) {
-            val wait = (policy.nextTick - clock.monotonic()).coerceIn(SHORTEST_WAIT, LONGEST_WAIT)
-            val command = withTimeoutOrNull(wait) { commands.receive() }
-            perform(command?.invoke() ?: policy.tick(clock.monotonic()))
-        }
-    }
-
-    private fun perform(actions: List<ExchangeAction>) = actions.forEach(::perform)
-
     private fun perform(action: ExchangeAction) {
         when (action) {
             is ExchangeAction.Send -> {
@@ -120,19 +109,19 @@
         try {
             val answer = stub.exchange(request)
             countBytes(sent = request.serializedSize, received = answer.serializedSize)
-            timeline.observe(answer.clockMilliseconds, answer.clockCounter)
-            command { policy.answered(answer.toMessage(), clock.monotonic()) }
+            take(answer)
+            loop.submit { now -> policy.answered(answer.toMessage(), now) }
         } catch (_: StatusException) {
-            command { policy.peerFailed(action.peer, clock.monotonic()) }
+            loop.submit { now -> policy.peerFailed(action.peer, now) }
         }
     }
 
     private suspend fun read(action: ExchangeAction.ReadService) {
         service.records(action.after, action.wait).fold(
-            success = { delta -> command { policy.serviceAnswered(delta, clock.monotonic()) } },
+            success = { delta -> loop.submit { now -> policy.serviceAnswered(delta, now) } },
             failure = { error ->
                 log.warn("configuration service did not answer", "error" to error)
-                command { policy.serviceFailed(clock.monotonic()) }
+                loop.submit(policy::serviceFailed)
             },
         )
     }
@@ -180,32 +169,31 @@
         snapshots.value = ConfigurationSnapshot(state.records, state.confirmed)
     }
 
-    private suspend fun listPeers() {
-        while (true) {
-            service.virtualMachines().fold(
-                success = { machines ->
-                    val peers = machines.filterNot { it.leaving }.map(::peer)
-                    command { policy.peersChanged(peers, clock.monotonic()) }
-                },
-                failure = { log.warn("list of VMs is not available", "error" to it) },
-            )
-            delay(if (current.value.records.revision == 0L) FIRST_LIST_INTERVAL else LIST_INTERVAL)
-        }
+    // Agents keep no organisations, so a gateway cannot learn everything from them.
+    private fun peers(listed: Map<ProcessName, Member>): List<Peer> {
+        val agents = state.records.servers.mapTo(HashSet()) { it.address }
+        return listed.values
+            .filter { it.state == MemberState.ALIVE }
+            .map { member ->
+                val subscription =
+                    if (member.process.value in agents) RecordSubscription.AGENT else RecordSubscription.ALL
+                Peer(member.process, member.identity.zone ?: UNKNOWN_ZONE, subscription)
+            }
     }
 
-    private fun peer(machine: ListedVirtualMachine): Peer = Peer(ProcessName(machine.address), ZoneName(machine.zone))
-
     private fun stamped(message: ExchangeMessageProto): ExchangeMessageProto {
         val timestamp = timeline.timestamp()
-        return message
-            .toBuilder()
+        val builder = message.toBuilder()
+        attachments.forEach { it.attach(builder) }
+        return builder
             .setClockMilliseconds(timestamp.milliseconds)
             .setClockCounter(timestamp.counter)
             .build()
     }
 
-    private fun command(action: () -> List<ExchangeAction>) {
-        commands.trySend(action)
+    private fun take(message: ExchangeMessageProto) {
+        timeline.observe(message.clockMilliseconds, message.clockCounter)
+        attachments.forEach { it.receive(message) }
     }
 
     private fun countBytes(
@@ -218,10 +206,10 @@
 
     private inner class Service : ExchangeServiceGrpcKt.ExchangeServiceCoroutineImplBase() {
         override suspend fun exchange(request: ExchangeMessageProto): ExchangeMessageProto {
-            timeline.observe(request.clockMilliseconds, request.clockCounter)
+            take(request)
             val answer = CompletableDeferred<ExchangeMessageProto>()
-            command {
-                val reply = policy.requested(request.toMessage(), clock.monotonic())
+            loop.submit { now ->
+                val reply = policy.requested(request.toMessage(), now)
                 answer.complete(stamped(reply.answer.toProto()))
                 reply.actions
             }
@@ -231,9 +219,6 @@
 
     private companion object {
         const val CALL_TIMEOUT_SECONDS = 5L
-        val SHORTEST_WAIT = 1.milliseconds
-        val LONGEST_WAIT = 1.seconds
-        val FIRST_LIST_INTERVAL = 1.seconds
-        val LIST_INTERVAL = 30.seconds
+        val UNKNOWN_ZONE = ZoneName("unknown")
     }
 }
