Hold bytes without an offset until the next token

They keep their place either way, and a stream whose bytes are still held can be resumed; writing them at once made no spec fail when it was left out.

Checked on a scratch copy: the specs fail when a failing attempt drops its output, when held bytes do not precede the next token, and when a refusal without a ticket ends the call.

mvn -B -q spotless:apply verify -pl decision,measure: passes.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/delivery/StreamAssembler.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/delivery/StreamAssembler.kt
@@ -139,9 +139,8 @@
     ): Boolean {
         val offset = chunk.tokenOffset
         when {
-            offset == null && hasOutput -> {
+            offset == null && wrotePlainBytes -> {
                 output += Output.Body(chunk.data)
-                wrotePlainBytes = true
             }
 
             offset == null -> {
