Let gateways read the configuration service and fix faults found in review

Also fixed: requests for a key of another service are refused, error documents and unfinished events in streams reach the caller, kept answers are bounded, a gateway without records says so, a closed connection makes the agent read its server again, and asking for the answer of a run in progress does not use up the retry budget.

--- a/agent/src/main/kotlin/io/kumquattrail/agent/AgentProcess.kt
+++ b/agent/src/main/kotlin/io/kumquattrail/agent/AgentProcess.kt
@@ -51,8 +51,9 @@
     private val log = PartLogger("agent")
     private val server = ServerName(settings.server)
     private val node = NodeRuntime(settings.node, vertx, clock, random, RecordSubscription.AGENT)
-    private val backend = BackendClient(vertx, settings.backend)
-    private val admissions = AdmissionGate(AdmissionController(node.incarnation, FairQueue()), clock, Effects())
+    private val effects = Effects()
+    private val backend = BackendClient(vertx, settings.backend, onConnectionClosed = { effects.readServer() })
+    private val admissions = AdmissionGate(AdmissionController(node.incarnation, FairQueue()), clock, effects)
 
     @Volatile
     private var stopping = false
--- a/agent/src/main/kotlin/io/kumquattrail/agent/backend/BackendClient.kt
+++ b/agent/src/main/kotlin/io/kumquattrail/agent/backend/BackendClient.kt
@@ -19,18 +19,31 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** Sends calls to the backend server beside the agent. */
+/**
+ * Sends calls to the backend server beside the agent.
+ *
+ * @property onConnectionClosed called when a connection that was kept open closes, on any thread.
+ */
 class BackendClient(
     vertx: Vertx,
     private val address: SocketAddress,
     private val statusTimeout: Duration = 2.seconds,
+    private val onConnectionClosed: () -> Unit = {},
 ) {
     private val options =
         HttpClientOptions().setDefaultHost(address.host).setDefaultPort(address.port).setConnectTimeout(
             CONNECT_TIMEOUT_MILLISECONDS,
         )
     private val pool = PoolOptions().setHttp1MaxSize(LARGEST_POOL)
-    private val pooled: HttpClientAgent = vertx.createHttpClient(options, pool)
+
+    // A restart of the server closes all connections, so an idle one tells of it before any work is sent.
+    private val pooled: HttpClientAgent =
+        vertx
+            .httpClientBuilder()
+            .with(options)
+            .with(pool)
+            .withConnectHandler { connection -> connection.closeHandler { onConnectionClosed() } }
+            .build()
 
     // A server may close an idle pooled connection while a call is written to it, and then nobody knows whether the
     // call ran. A new connection for each unrepeatable call leaves no such doubt.
--- a/agent/src/main/kotlin/io/kumquattrail/agent/backend/EventStreamSplitter.kt
+++ b/agent/src/main/kotlin/io/kumquattrail/agent/backend/EventStreamSplitter.kt
@@ -5,6 +5,7 @@
 /** Cuts a body of server-sent events into whole events. */
 class EventStreamSplitter {
     private val pending = ByteArrayOutputStream()
+    private var lineIsEmpty = false
 
     /** Number of bytes that wait for the end of their event. */
     val pendingBytes: Int get() = pending.size()
@@ -12,24 +13,25 @@
     /** Adds [bytes] and returns the events that are now whole, each with its closing blank line. */
     fun add(bytes: ByteArray): List<ByteArray> {
         val events = mutableListOf<ByteArray>()
-        var previousWasNewline = pending.size() > 0 && lastPending == NEWLINE
         for (byte in bytes) {
             pending.write(byte.toInt())
-            if (byte == NEWLINE && previousWasNewline) {
-                events += pending.toByteArray()
-                pending.reset()
-                previousWasNewline = false
-            } else {
-                previousWasNewline = byte == NEWLINE
+            when (byte) {
+                NEWLINE -> if (lineIsEmpty) events += takePending() else lineIsEmpty = true
+                CARRIAGE_RETURN -> Unit
+                else -> lineIsEmpty = false
             }
-            lastPending = byte
         }
         return events
     }
 
-    private var lastPending: Byte = 0
+    /** Removes and returns the bytes whose event has not ended. */
+    fun takePending(): ByteArray {
+        lineIsEmpty = false
+        return pending.toByteArray().also { pending.reset() }
+    }
 
     private companion object {
         const val NEWLINE: Byte = '\n'.code.toByte()
+        const val CARRIAGE_RETURN: Byte = '\r'.code.toByte()
     }
 }
--- a/agent/src/main/kotlin/io/kumquattrail/agent/work/WorkExecutor.kt
+++ b/agent/src/main/kotlin/io/kumquattrail/agent/work/WorkExecutor.kt
@@ -94,9 +94,14 @@
         private var status = 0
         private var headers = emptyMap<String, String>()
         private var tokens = request.resumeAfterTokens
+        private var isEventStream = false
 
         suspend fun beginKey() {
             val service = ServiceName(request.service)
+            // A key issued for another service names this agent as its owner, and this server must not run the request.
+            if (node.records.server(server)?.service != service) {
+                return send(factory.notRun(RefusalReason.KEY_NOT_SUPPORTED, "The key belongs to another service."))
+            }
             val begun = keys.begin(request.idempotencyKey, service, request.keyRound, request.fingerprint)
             begun?.let(::recordKeyDecision)
             when (begun) {
@@ -229,13 +234,15 @@
         private suspend fun begin(head: BackendEvent.Head) {
             status = head.status
             headers = head.headers.filterKeys { it !in HOP_BY_HOP_HEADERS }
-            if (!request.stream) admissions.report(AdmissionEvent.FirstToken(id))
+            // A server may answer a request for a stream with an error document.
+            isEventStream = request.stream && head.headers["content-type"].orEmpty().startsWith(EVENT_STREAM)
+            if (!isEventStream) admissions.report(AdmissionEvent.FirstToken(id))
             send(factory.started(status, headers))
         }
 
         private suspend fun forward(bytes: ByteArray) {
-            answer.add(bytes)
-            if (!request.stream) return send(factory.chunk(bytes))
+            if (request.idempotencyKey.isNotEmpty()) answer.add(bytes)
+            if (!isEventStream) return send(factory.chunk(bytes))
             splitter.add(bytes).forEach { event ->
                 if (isToken(event)) {
                     if (tokens == request.resumeAfterTokens) admissions.report(AdmissionEvent.FirstToken(id))
@@ -248,6 +255,12 @@
             }
         }
 
+        private suspend fun end(): WorkOutcome {
+            val rest = splitter.takePending()
+            if (rest.isNotEmpty()) send(factory.chunk(rest, tokenOffset = tokens))
+            return if (isServerError(status)) WorkOutcome.FAILED else WorkOutcome.COMPLETED
+        }
+
         private suspend fun finish(
             round: Int?,
             outcome: WorkOutcome,
@@ -258,8 +271,8 @@
             if (crashed) node.suspects.crashed(Crash(incarnation, suspects, alone = runAlone))
             if (outcome == WorkOutcome.COMPLETED) node.suspects.completed(request.fingerprint)
             fingerprintsInFlight.remove(id)
-            if (request.stream) admissions.report(AdmissionEvent.OutputProgress(id, tokens - request.resumeAfterTokens))
-            admissions.report(AdmissionEvent.WorkEnded(id, if (notSent) WorkOutcome.BROKEN else outcome))
+            if (isEventStream) admissions.report(AdmissionEvent.OutputProgress(id, tokens - request.resumeAfterTokens))
+            admissions.report(if (notSent) AdmissionEvent.NotConnected(id) else AdmissionEvent.WorkEnded(id, outcome))
             val ticketRound = round?.let { settleKey(it, outcome, notSent) }
             val frame =
                 when {
@@ -272,7 +285,7 @@
                     }
 
                     crashed -> {
-                        factory.broken("the connection to the backend server broke", true, suspects)
+                        factory.broken("the connection to the backend server broke", true, suspects.toList(), runAlone)
                     }
 
                     outcome == WorkOutcome.CANCELLED -> {
@@ -297,6 +310,10 @@
                     return keys.failedBeforeSending(key, round)?.round
                 }
 
+                answer.overflowed -> {
+                    keys.failedAfterSending(key, round)
+                }
+
                 outcome == WorkOutcome.COMPLETED || outcome == WorkOutcome.FAILED -> {
                     keys.complete(key, round, StoredAnswer(status, headers, answer.bytes()))
                 }
@@ -354,16 +371,25 @@
         }
     }
 
+    /** Keeps the answer to a keyed request, up to a bound; a larger answer reaches its caller and is not kept. */
     private class AnswerBuffer {
         private val bytes = ByteArrayOutputStream()
 
-        fun add(part: ByteArray) = bytes.write(part)
+        var overflowed = false
+            private set
+
+        fun add(part: ByteArray) {
+            overflowed = overflowed || bytes.size() + part.size > LARGEST_KEPT_ANSWER_BYTES
+            if (overflowed) bytes.reset() else bytes.write(part)
+        }
 
         fun bytes(): ByteArray = bytes.toByteArray()
     }
 
     private companion object {
         const val FRAME_BUFFER = 64
+        const val LARGEST_KEPT_ANSWER_BYTES = 1 shl 20
+        const val EVENT_STREAM = "text/event-stream"
         const val FIRST_SERVER_ERROR = 500
         const val CRASH_DETAIL = "The request crashed backend servers that ran it."
         const val RESUME_HEADER = "X-Resume-After-Tokens"
--- a/agent/src/test/kotlin/io/kumquattrail/agent/backend/EventStreamSplitterSpec.kt
+++ b/agent/src/test/kotlin/io/kumquattrail/agent/backend/EventStreamSplitterSpec.kt
@@ -21,6 +21,18 @@
                 }
             }
 
+            it("may end its lines with carriage returns, as the standard allows") {
+                val events = EventStreamSplitter().add("data: a\r\n\r\ndata: b\r\n\r\n".toByteArray())
+                events.map { String(it) } shouldBe listOf("data: a\r\n\r\n", "data: b\r\n\r\n")
+            }
+
+            it("gives the rest of a stream that ends without a blank line, so that no bytes are lost") {
+                val splitter = EventStreamSplitter()
+                splitter.add("data: a\n\ndata: b".toByteArray()).size shouldBe 1
+                String(splitter.takePending()) shouldBe "data: b"
+                splitter.pendingBytes shouldBe 0
+            }
+
             it("holds back an event whose end has not arrived") {
                 val splitter = EventStreamSplitter()
                 splitter.add("data: a\n".toByteArray()) shouldBe emptyList()
--- a/command/src/main/kotlin/io/kumquattrail/command/AgentCommand.kt
+++ b/command/src/main/kotlin/io/kumquattrail/command/AgentCommand.kt
@@ -17,7 +17,7 @@
     private val settings by option("--settings", help = "TOML settings file").path().required()
 
     override fun help(context: Context): String =
-        "Run an agent beside a backend server. Exit codes: 0 stopped, 1 invalid settings."
+        "Run an agent beside a backend server. Exit codes: 143 stopped by SIGTERM, 1 invalid settings."
 
     override fun run() {
         AgentSettings.load(settings).fold(success = ::serve, failure = { refuseSettings(settings, it) })
--- a/command/src/main/kotlin/io/kumquattrail/command/GatewayCommand.kt
+++ b/command/src/main/kotlin/io/kumquattrail/command/GatewayCommand.kt
@@ -20,7 +20,7 @@
     private val settings by option("--settings", help = "TOML settings file").path().required()
 
     override fun help(context: Context): String =
-        "Run a gateway on an entry VM. Exit codes: 0 stopped, 1 invalid settings."
+        "Run a gateway on an entry VM. Exit codes: 143 stopped by SIGTERM, 1 invalid settings."
 
     override fun run() {
         GatewaySettings.load(settings).fold(success = ::serve, failure = { refuseSettings(settings, it) })
--- a/command/src/main/kotlin/io/kumquattrail/command/Main.kt
+++ b/command/src/main/kotlin/io/kumquattrail/command/Main.kt
@@ -10,7 +10,7 @@
     override fun help(context: Context): String = "Load balancer for expert-parallel model groups."
 
     override fun helpEpilog(context: Context): String =
-        "Exit codes: 0 success, 1 failure or invalid input, 2 wrong usage. Each command has --help."
+        "Exit codes: 0 success, 1 failure, invalid input or wrong usage, 143 after SIGTERM. Each command has --help."
 
     override fun run() = Unit
 }
--- a/command/src/main/kotlin/io/kumquattrail/command/MeasureCommand.kt
+++ b/command/src/main/kotlin/io/kumquattrail/command/MeasureCommand.kt
@@ -23,7 +23,7 @@
     private val json by option("--json", help = "Print only the last line").flag()
 
     override fun help(context: Context): String =
-        "Run a measurement; the last line is JSON. Exit codes: 0 measured, 2 unknown measurement."
+        "Run a measurement; the last line is JSON. Exit codes: 0 measured, 1 unknown measurement."
 
     override fun helpEpilog(context: Context): String =
         "Measurements: " + ALL.joinToString("; ") { "${it.name} (${it.summary})" }
--- a/decision/src/main/kotlin/io/kumquattrail/decision/delivery/RetryPolicy.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/delivery/RetryPolicy.kt
@@ -129,7 +129,7 @@
                 progress.canResume &&
                 progress.attempts < limits.maximumOwnerAttempts &&
                 now + delay < progress.deadline &&
-                permission.tryAcquire(now)
+                (isInProgress(outcome) || permission.tryAcquire(now))
         if (retries) return RetryDecision.RetryOwner(round = nextRound, delay = delay)
         val proved = outcome is AttemptOutcome.NotRun && outcome.frame.keyNotRun
         val refusal = refusal(outcome, if (proved) RunState.NO else RunState.UNKNOWN)
@@ -142,6 +142,10 @@
         )
     }
 
+    // Asking again for the answer of a run in progress puts no work on a server.
+    private fun isInProgress(outcome: AttemptOutcome): Boolean =
+        outcome is AttemptOutcome.NotRun && outcome.frame.reason == RefusalReason.KEY_IN_PROGRESS
+
     /** Returns the round of the next attempt at the key's owner, or `null` when the caller has to decide. */
     private fun nextRound(
         progress: CallProgress,
--- a/demo/src/main/kotlin/io/kumquattrail/demo/DemoLoad.kt
+++ b/demo/src/main/kotlin/io/kumquattrail/demo/DemoLoad.kt
@@ -43,7 +43,9 @@
         while (start.elapsedNow() < time) {
             val request = index++
             scope.launch { send(request) }
-            delay(random.nextLong(SHORTEST_PAUSE_MILLISECONDS, LONGEST_PAUSE_MILLISECONDS).milliseconds)
+            val pause = random.nextLong(SHORTEST_PAUSE_MILLISECONDS, LONGEST_PAUSE_MILLISECONDS).milliseconds
+            // All servers start cold, so the load rises to its full rate only after they had time to warm up.
+            delay(if (start.elapsedNow() < time / WARM_UP_PART) pause * WARM_UP_FACTOR else pause)
         }
     }
 
@@ -168,6 +170,8 @@
         const val LARGEST_POOL = 256
         const val MIX = 4
         const val TOKENS = 24
+        const val WARM_UP_PART = 5
+        const val WARM_UP_FACTOR = 4
         const val POSTING_SENDS = 4
         val RESEND_PAUSE = 250.milliseconds
         const val HTTP_OK = 200
--- a/gateway/src/main/kotlin/io/kumquattrail/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/kumquattrail/gateway/GatewayProcess.kt
@@ -1,5 +1,8 @@
 package io.kumquattrail.gateway
 
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import io.grpc.StatusException
 import io.kumquattrail.decision.configuration.RecordSubscription
@@ -23,6 +26,7 @@
 import io.kumquattrail.gateway.request.CallClassifier
 import io.kumquattrail.gateway.request.ClassifiedRequest
 import io.kumquattrail.gateway.request.IncomingRequest
+import io.kumquattrail.gateway.request.RequestFilter
 import io.kumquattrail.gateway.request.RequestIdentifier
 import io.kumquattrail.gateway.request.RequestParser
 import io.kumquattrail.gateway.request.then
@@ -42,6 +46,7 @@
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Runs on an entry VM: takes callers' requests and sends them to the agents beside backend servers.
@@ -67,9 +72,6 @@
     private val requestPrefix = java.lang.Long.toHexString(random.nextLong())
     private val requestCount = AtomicLong()
     private val callers = CallerServer(vertx, settings, this)
-    private val rpc =
-        RpcServer(settings.node.rpc, listOf(configuration.rpc, timeline.rpc), settings.node.transportSecurity)
-    private val operations = OperationsServer(vertx, settings.node.operations, metrics, GatewayReadiness())
 
     @Volatile
     private var stopping = false
@@ -106,18 +108,30 @@
         sink: HttpAnswerSink,
     ): CallEnd {
         val filters =
-            parser then { RequestIdentifier.Input(it, request.headers).let(identifier::apply) } then classifier
-        val end =
-            filters.apply(request).fold(
-                success = { run(it, sink) },
-                failure = { refusal ->
-                    sink.refuse(refusal.truthfulFor(request.headers[RequestParser.KEY_HEADER]))
-                    CallEnd.REFUSED
-                },
-            )
-        return end
+            RequestFilter(::requireRecords) then
+                parser then
+                { RequestIdentifier.Input(it, request.headers).let(identifier::apply) } then
+                classifier
+        return filters.apply(request).fold(
+            success = { run(it, sink) },
+            failure = { refusal ->
+                node.metrics.requests
+                    .labelValues("none", CallEnd.REFUSED.name.lowercase())
+                    .inc()
+                sink.refuse(refusal.truthfulFor(request.headers[RequestParser.KEY_HEADER]))
+                CallEnd.REFUSED
+            },
+        )
     }
 
+    // Without records every service and organisation is unknown, which the caller must not take for an error of its own.
+    private fun requireRecords(request: IncomingRequest): Result<IncomingRequest, Refusal> =
+        if (ready()) {
+            Ok(request)
+        } else {
+            Err(Refusal(RefusalReason.NOT_READY, RunState.NO, "The gateway knows no records yet.", RETRY_WHEN_READY))
+        }
+
     override suspend fun issueKeys(
         request: IncomingRequest,
         context: RoutingContext,
@@ -128,6 +142,9 @@
                 JsonObject(String(request.body))
             } catch (_: DecodeException) {
                 null
+            } catch (_: ClassCastException) {
+                // The body is valid JSON of another type.
+                null
             }
         val count = body?.getValue("count", 1) as? Int
         val name = body?.getValue("service") as? String
@@ -221,6 +238,7 @@
 
     private companion object {
         const val MOST_KEYS = 1_000
+        val RETRY_WHEN_READY = 1.seconds
         const val ISSUE_TIMEOUT_SECONDS = 2L
     }
 }
--- a/gateway/src/main/kotlin/io/kumquattrail/gateway/call/AttemptSender.kt
+++ b/gateway/src/main/kotlin/io/kumquattrail/gateway/call/AttemptSender.kt
@@ -25,6 +25,7 @@
 import io.kumquattrail.protocol.v1.WorkServiceGrpcKt
 import kotlinx.coroutines.delay
 import java.util.concurrent.TimeUnit
+import kotlin.time.DurationUnit
 
 /** Sends the attempts of calls to agents and reports what comes back as events. */
 class AttemptSender(
@@ -145,6 +146,7 @@
         report: suspend (CallEvent) -> Unit,
     ): AssignmentEnd {
         val tracer = SendTracer()
+        val startedAt = node.clock.monotonic()
         var last: FrameContent? = null
         var firstToken = false
         try {
@@ -158,6 +160,10 @@
                 if (!firstToken && frame.content is FrameContent.Chunk) {
                     firstToken = true
                     selection.firstToken(server)
+                    val seconds = (node.clock.monotonic() - startedAt).toDouble(DurationUnit.SECONDS)
+                    node.metrics.firstToken
+                        .labelValues(server.record.service.value)
+                        .observe(seconds)
                 }
                 report(CallEvent.FrameArrived(frame))
             }
--- a/node/src/main/kotlin/io/kumquattrail/node/configuration/ConfigurationExchange.kt
+++ b/node/src/main/kotlin/io/kumquattrail/node/configuration/ConfigurationExchange.kt
@@ -67,7 +67,7 @@
 
     fun start() {
         loop.start(scope, policy::start)
-        scope.launch { members.collect { listed -> loop.submit { now -> policy.peersChanged(peers(listed), now) } } }
+        scope.launch { members.collect { submitPeers() } }
     }
 
     override suspend fun confirm(): Boolean = service.records(current.value.records.revision, Duration.ZERO).isOk
@@ -136,6 +136,9 @@
         val before = snapshots.value.records
         snapshots.value = ConfigurationSnapshot(state.records, state.confirmed)
         recordEvents(applied, before)
+        // Which peers are agents follows from the records. Without this, gateways took agents for readers of the service,
+        // the agents did not agree, and nobody read it.
+        submitPeers()
     }
 
     private fun recordEvents(
@@ -169,6 +172,8 @@
         snapshots.value = ConfigurationSnapshot(state.records, state.confirmed)
     }
 
+    private fun submitPeers() = loop.submit { now -> policy.peersChanged(peers(members.value), now) }
+
     // Agents keep no organisations, so a gateway cannot learn everything from them.
     private fun peers(listed: Map<ProcessName, Member>): List<Peer> {
         val agents = state.records.servers.mapTo(HashSet()) { it.address }
--- a/node/src/main/kotlin/io/kumquattrail/node/membership/MembershipExchange.kt
+++ b/node/src/main/kotlin/io/kumquattrail/node/membership/MembershipExchange.kt
@@ -59,6 +59,7 @@
         DecisionLoop(clock, nextTick = { detector.nextTick }, tick = detector::tick, perform = ::perform)
     private val current = MutableStateFlow<Map<ProcessName, Member>>(emptyMap())
     private val ownLeaving = MutableStateFlow(false)
+    private val startedAt = clock.monotonic()
     private val notified = mutableSetOf<String>()
 
     /** All other processes that this one knows. */
@@ -96,6 +97,7 @@
         when {
             current.value.isEmpty() -> FIRST_INTERVAL
             isWatcher() -> WATCHER_INTERVAL
+            clock.monotonic() - startedAt < YOUNG -> YOUNG_INTERVAL * (LEAST_SPREAD + random.nextDouble())
             else -> OTHER_INTERVAL * (LEAST_SPREAD + random.nextDouble())
         }
 
@@ -197,5 +199,9 @@
         val FIRST_INTERVAL = 1.seconds
         val WATCHER_INTERVAL = 500.milliseconds
         val OTHER_INTERVAL = 30.seconds
+
+        // Processes that start together see each other only as the list fills.
+        val YOUNG = 30.seconds
+        val YOUNG_INTERVAL = 3.seconds
     }
 }
--- a/node/src/main/kotlin/io/kumquattrail/node/settings/NodeSettings.kt
+++ b/node/src/main/kotlin/io/kumquattrail/node/settings/NodeSettings.kt
@@ -72,6 +72,25 @@
     }
 }
 
+/** Names the PEM files with which a gateway identifies itself to callers. */
+data class ServerCertificate(
+    val certificate: Path,
+    val key: Path,
+) {
+    companion object {
+        /** Reads the section [section]; returns `null` when the section names no file. */
+        fun read(
+            reader: SettingsReader,
+            section: String,
+        ): ServerCertificate? {
+            val keys = listOf("certificate", "key").map { "$section.$it" }
+            if (keys.all { reader.optionalText(it) == null }) return null
+            val (certificate, key) = keys.map { Path.of(reader.text(it)) }
+            return ServerCertificate(certificate, key)
+        }
+    }
+}
+
 /**
  * Holds the settings of a gateway.
  *
@@ -86,7 +105,7 @@
     val largestBody: Int = 1 shl 20,
     val defaultTimeout: Duration = 60.seconds,
     val longestTimeout: Duration = 10.minutes,
-    val callersSecurity: TransportSecurity? = null,
+    val callersSecurity: ServerCertificate? = null,
 ) {
     companion object {
         private const val LARGEST_BODY_LIMIT = 64 shl 20
@@ -101,7 +120,7 @@
                 largestBody = reader.integer("gateway.largest_body", 1..LARGEST_BODY_LIMIT, default = 1 shl 20),
                 defaultTimeout = reader.duration("gateway.default_timeout", TIMEOUT_RANGE, default = 60.seconds),
                 longestTimeout = reader.duration("gateway.longest_timeout", TIMEOUT_RANGE, default = 10.minutes),
-                callersSecurity = TransportSecurity.read(reader, "gateway.tls"),
+                callersSecurity = ServerCertificate.read(reader, "gateway.tls"),
             )
     }
 }
