Let every quota owner take its turn and match warnings of guarantees

Cause: with 320 gateways the owners of the largest organisations took all quota messages of a gateway, so most demands stayed unknown. Three of four messages now go in turn.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/limit/OwnerQuota.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/limit/OwnerQuota.kt
@@ -37,8 +37,10 @@
     private var lastTick: MonotonicTime? = null
     private var entriesPerGrant = 0.0
     private var lastForgotten = MonotonicTime(Long.MIN_VALUE / 2)
-    private var requested = 0L
-    private var requestedRate = 0.0
+    private var reports = 0L
+
+    /** Counts over all owners, so that an owner that left the view and returned does not take new reports for old. */
+    private var sequence = 0L
 
     /** Time in which this gateway exchanges a message with every owner. */
     private val round: Duration get() = settings.round(gateways.names.size, entriesPerGrant)
@@ -54,7 +56,6 @@
         local.record(tokens, limit.toLong(), now)
         owner.pending += local
         owner.pendingTokens += tokens
-        requested += tokens
         val demand = knownDemand(local, owner, now)
         val rate = rateOf(local, limit, demand)
         val saved = rate * settings.burst.toDouble(DurationUnit.SECONDS)
@@ -170,9 +171,6 @@
         lastTick = now
         val seconds = (now - previous).toDouble(DurationUnit.SECONDS)
         bytes = minOf(bytes + settings.bytesPerSecond * seconds, settings.bytesPerSecond)
-        if (seconds <= 0.0) return
-        requestedRate += (requested / seconds - requestedRate) * minOf(1.0, seconds / REQUESTED_SECONDS)
-        requested = 0
     }
 
     private fun forgetIdle(now: MonotonicTime) {
@@ -183,19 +181,19 @@
     }
 
     /**
-     * Chooses the owner with the oldest figures or with the most demand to report: large organisations decide most of
-     * the error of the limits, and the rest takes its turn.
+     * Chooses in turn the owner with the oldest figures and, for a part of the messages, the one with the most demand to
+     * report: large organisations decide most of the error of the limits. Without the turns, the owners of the largest
+     * organisations took all messages of a gateway among 320.
      */
     private fun nextOwner(now: MonotonicTime): Map.Entry<ProcessName, Owner>? {
-        val roundNanoseconds = round.inWholeNanoseconds.toDouble()
-        val usualTokens = requestedRate * round.toDouble(DurationUnit.SECONDS) / gateways.names.size + 1.0
+        reports += 1
+        val isByDemand = reports % REPORTS_PER_DEMAND == 0L
         var best: Map.Entry<ProcessName, Owner>? = null
-        var bestScore = -1.0
+        var bestScore = -1L
         for (entry in owners.entries) {
             val owner = entry.value
             if (!owner.mayReport(now)) continue
-            val age = (now.nanoseconds - owner.lastSent.nanoseconds) / roundNanoseconds
-            val score = owner.pendingTokens / usualTokens + age
+            val score = if (isByDemand) owner.pendingTokens else now.nanoseconds - owner.lastSent.nanoseconds
             if (score > bestScore) {
                 best = entry
                 bestScore = score
@@ -248,7 +246,6 @@
         val demands = HashMap<OrganisationKey, KnownDemand>()
         var hasSent = false
         var pendingTokens = 0L
-        var sequence = 0L
         var unacknowledged: QuotaReport? = null
         var grantedAt: MonotonicTime? = null
         var isComplete = false
@@ -317,7 +314,7 @@
         const val LEAST_DEPTH_REQUESTS = 4.0
         const val VALID_ROUNDS = 3
         const val SMOOTHING = 0.1
-        const val REQUESTED_SECONDS = 10.0
+        const val REPORTS_PER_DEMAND = 4L
         const val RATE_SECONDS = 4.0
         const val LEAST_REPORT_SECONDS = 0.25
         const val RETRY_SECONDS = 0.5
--- a/decision/src/main/kotlin/io/kumquattrail/decision/limit/QuotaSettings.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/limit/QuotaSettings.kt
@@ -30,14 +30,21 @@
     val shortestRetryAfter: Duration = 200.milliseconds,
     val longestRetryAfter: Duration = 60.seconds,
 ) {
-    /** Time in which a gateway exchanges one message with each of [gateways] owners of [organisations] each. */
+    /**
+     * Time in which a gateway exchanges one message with each of [gateways] owners of [organisations] each, when it takes
+     * a quarter of its messages out of turn.
+     */
     fun round(
         gateways: Int,
         organisations: Double,
     ): Duration {
         val exchangeBytes = 2 * messageBytes + entryBytes * organisations
-        return maxOf(leastReportInterval, (gateways * exchangeBytes / bytesPerSecond).seconds)
+        return maxOf(leastReportInterval, (gateways * exchangeBytes / (bytesPerSecond * IN_TURN)).seconds)
     }
 
     internal fun retryAfter(wait: Duration): Duration = wait.coerceIn(shortestRetryAfter, longestRetryAfter)
+
+    private companion object {
+        const val IN_TURN = 0.75
+    }
 }
--- a/decision/src/test/kotlin/io/kumquattrail/decision/limit/OwnerQuotaSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/limit/OwnerQuotaSpec.kt
@@ -1,6 +1,7 @@
 package io.kumquattrail.decision.limit
 
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.doubles.shouldBeBetween
 import io.kotest.matchers.doubles.shouldBeLessThan
 import io.kotest.matchers.nulls.shouldBeNull
@@ -100,6 +101,24 @@
             }
         }
 
+        describe("reports") {
+            it("keep rising numbers when an owner leaves the view and returns, or it would ignore them as repeated") {
+                val self = ProcessName("10.0.0.1:1")
+                val owner = ProcessName("10.0.0.2:1")
+                val policy = OwnerQuota(self, Incarnation(1, 1), Random(7)) { LIMIT }
+                val sequences =
+                    (0..3).flatMap { step ->
+                        val now = MonotonicTime.ZERO + 3.seconds * step
+                        policy.updateGateways(listOf(self), now)
+                        policy.updateGateways(listOf(self, owner), now)
+                        val requests = policy.tick(now) + policy.tick(now + 1.seconds)
+                        requests.filter { it.owner == owner }.map { it.report.sequence }
+                    }
+                sequences shouldHaveSize 4
+                sequences shouldBe sequences.distinct().sorted()
+            }
+        }
+
         describe("the owner") {
             val gateway = ProcessName("10.0.0.1:1")
             val report =
--- a/measure/src/main/kotlin/io/kumquattrail/measure/limit/LimitPolicy.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/limit/LimitPolicy.kt
@@ -12,6 +12,8 @@
 import io.kumquattrail.decision.limit.RetryBudget
 import io.kumquattrail.decision.limit.StaticShareQuota
 import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** Creates the quota policy of one gateway. */
 internal typealias QuotaFactory = (ProcessName, Random, (OrganisationName) -> Long?) -> QuotaPolicy
@@ -23,6 +25,7 @@
     val quota: QuotaFactory?,
     val shedder: (() -> LoadShedder)?,
     val retryBudget: () -> RetryBudget,
+    val warmUp: Duration = 60.seconds,
 ) {
     companion object {
         val OWNER_QUOTA: QuotaFactory = { name, random, limits ->
@@ -31,12 +34,12 @@
         val ESTIMATED_QUOTA: QuotaFactory = { _, random, limits -> EstimatedQuota(random, limits = limits) }
         val STATIC_QUOTA: QuotaFactory = { _, _, limits -> StaticShareQuota(limits = limits) }
 
-        val PRODUCT = fair("fair_queue_owner_quota", OWNER_QUOTA)
+        /** The owner's figures are complete after two rounds of messages. */
+        val PRODUCT = fair("fair_queue_owner_quota", OWNER_QUOTA, warmUp = 180.seconds)
 
         val all: List<LimitPolicy> =
             listOf(
                 PRODUCT,
-                fair("fair_queue_estimated_quota", ESTIMATED_QUOTA),
                 fair("fair_queue_static_quota", STATIC_QUOTA),
                 plain("first_in_first_out", null),
                 plain("static_shares", STATIC_QUOTA),
@@ -45,7 +48,8 @@
         private fun fair(
             label: String,
             quota: QuotaFactory,
-        ) = LimitPolicy(label, { FairQueue() }, quota, { LoadShedder() }, { RetryBudget() })
+            warmUp: Duration = 60.seconds,
+        ) = LimitPolicy(label, { FairQueue() }, quota, { LoadShedder() }, { RetryBudget() }, warmUp)
 
         private fun plain(
             label: String,
--- a/measure/src/main/kotlin/io/kumquattrail/measure/limit/LimitSimulation.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/limit/LimitSimulation.kt
@@ -14,7 +14,7 @@
 /**
  * Runs gateways and agents under [load] times their capacity, with callers that repeat refused and late requests.
  *
- * One gateway terminates after three fifths of the time and returns after four fifths.
+ * One gateway terminates after a fifth of the measured time and returns after three fifths.
  */
 internal class LimitSimulation(
     private val policy: LimitPolicy,
@@ -23,6 +23,7 @@
     private val load: Double,
     private val seed: Long,
 ) {
+    private val duration = policy.warmUp + MEASURED
     private val events = EventQueue()
     private val random = Random(seed)
     private val workload = Workload.of(organisationCount, CAPACITY, Random(seed + 1))
@@ -46,16 +47,16 @@
             }
             events.every(EXPIRY_INTERVAL, EXPIRY_INTERVAL * random.nextDouble()) { agent.tick() }
         }
-        events.after(DURATION * 3 / 5) { stopGateway(names.last()) }
-        events.after(DURATION * 4 / 5) { restartGateway(names.last()) }
+        events.after(policy.warmUp + MEASURED / 5) { stopGateway(names.last()) }
+        events.after(policy.warmUp + MEASURED * 3 / 5) { restartGateway(names.last()) }
         scheduleNext()
-        events.runUntil(MonotonicTime.ZERO + DURATION + DEADLINE * 2)
+        events.runUntil(MonotonicTime.ZERO + duration + DEADLINE * 2)
         return outcome()
     }
 
     private fun scheduleNext() {
         events.after(workload.secondsUntilNext(load * CAPACITY / Workload.meanTokens).seconds) {
-            if (events.now < MonotonicTime.ZERO + DURATION) {
+            if (events.now < MonotonicTime.ZERO + duration) {
                 sendFresh()
                 scheduleNext()
             }
@@ -70,7 +71,7 @@
                 index = index,
                 estimatedTokens = Workload.PROMPT_TOKENS + output,
                 actualTokens = Workload.PROMPT_TOKENS + (output * workload.outputFactor()).toInt(),
-                isCounted = events.now >= MonotonicTime.ZERO + WARM_UP,
+                isCounted = events.now >= MonotonicTime.ZERO + policy.warmUp,
             )
         if (request.isCounted) {
             tallies[index].fresh += request.actualTokens
@@ -86,7 +87,7 @@
         val deadline = sent + DEADLINE
         var isOpen = true
         val tally = tallies[request.index]
-        val inWindow = sent >= MonotonicTime.ZERO + WARM_UP
+        val inWindow = sent >= MonotonicTime.ZERO + policy.warmUp
         if (inWindow) tally.offered += request.actualTokens
         gateway.handle(
             CallerAttempt(
@@ -168,7 +169,7 @@
         byPriority.getOrPut(workload.organisations[index].priority) { PriorityTally() }
 
     private fun outcome(): LimitOutcome {
-        val seconds = (DURATION - WARM_UP).toDouble(DurationUnit.SECONDS)
+        val seconds = MEASURED.toDouble(DurationUnit.SECONDS)
         val allowed = workload.organisations.map { it.tokensPerSecond * seconds }
         val demands = DoubleArray(organisationCount) { minOf(tallies[it].fresh, allowed[it]) }
         val shares = FairShares.of(workload.organisations, demands, CAPACITY * seconds, RESERVED_SHARE)
@@ -186,7 +187,7 @@
             quotaError = tallies.indices.sumOf { abs(tallies[it].granted - permitted[it]) } / permitted.sum(),
             quotaExcess =
                 tallies.indices.sumOf { maxOf(0.0, tallies[it].granted - permitted[it]) } / permitted.sum(),
-            quotaBytesPerSecond = 2.0 * network.bytes / gatewayCount / DURATION.toDouble(DurationUnit.SECONDS),
+            quotaBytesPerSecond = 2.0 * network.bytes / gatewayCount / duration.toDouble(DurationUnit.SECONDS),
         )
     }
 
@@ -225,8 +226,7 @@
         private const val P99 = 0.99
         private const val TOLERANCE = 0.005
         private const val MOST_REPETITIONS = 3
-        private val DURATION = 180.seconds
-        private val WARM_UP = 100.seconds
+        private val MEASURED = 80.seconds
         private val DEADLINE = 4.seconds
         private val REPORT_INTERVAL = 1.seconds
         private val EXPIRY_INTERVAL = 50.milliseconds
--- a/measure/src/main/kotlin/io/kumquattrail/measure/limit/LimitsMeasurement.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/limit/LimitsMeasurement.kt
@@ -4,6 +4,8 @@
 import io.kumquattrail.measure.MeasurementOptions
 import java.util.concurrent.Callable
 import java.util.concurrent.Executors
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** Measures fair shares, quotas and goodput under overload against simpler policies. */
 object LimitsMeasurement : Measurement {
@@ -19,8 +21,8 @@
         )
     private val QUOTA_SIZES =
         listOf(
-            QuotaSize(10, 8, 200.0, GatewayChange.entries),
-            QuotaSize(5_000, 320, 3_800.0, listOf(GatewayChange.RESTARTS)),
+            QuotaSize(10, 8, 200.0, 60.seconds, GatewayChange.entries),
+            QuotaSize(5_000, 320, 1_900.0, 330.seconds, listOf(GatewayChange.RESTARTS)),
         )
 
     override val name: String = "limits"
@@ -28,22 +30,21 @@
     override val summary: String = "Fair shares, quotas, shedding and retries at 0.5 to 5 times capacity."
 
     override fun run(options: MeasurementOptions): Map<String, Any?> {
-        val rows =
-            inParallel(
-                LimitPolicy.all.flatMap { policy ->
-                    GATEWAYS_BY_ORGANISATIONS.flatMap { (organisations, gateways) ->
-                        LOADS.map { load -> { row(policy, organisations, gateways, load, options) } }
-                    }
-                },
-            )
-        val quotas =
-            inParallel(
-                QUOTAS.flatMap { (label, factory) ->
-                    QUOTA_SIZES.flatMap { size ->
-                        size.changes.map { change -> { quotaRow(label, factory, size, change, options) } }
-                    }
-                },
-            )
+        val quotaTasks =
+            QUOTAS.flatMap { (label, factory) ->
+                QUOTA_SIZES.flatMap { size ->
+                    size.changes.map { change -> { quotaRow(label, factory, size, change, options) } }
+                }
+            }
+        val rowTasks =
+            LimitPolicy.all.flatMap { policy ->
+                GATEWAYS_BY_ORGANISATIONS.flatMap { (organisations, gateways) ->
+                    LOADS.map { load -> { row(policy, organisations, gateways, load, options) } }
+                }
+            }
+        val outcomes = inParallel(quotaTasks + rowTasks)
+        val quotas = outcomes.take(quotaTasks.size)
+        val rows = outcomes.filterIsInstance<Row>()
         return mapOf(
             "measurement" to name,
             "seed" to options.seed,
@@ -79,6 +80,7 @@
                 gatewayCount = size.gateways,
                 requestsPerSecond = size.requestsPerSecond,
                 change = change,
+                warmUp = size.warmUp,
                 seed = options.seed,
             )
         val outcome = simulation.run()
@@ -116,6 +118,7 @@
         val organisations: Int,
         val gateways: Int,
         val requestsPerSecond: Double,
+        val warmUp: Duration,
         val changes: List<GatewayChange>,
     )
 
--- a/measure/src/main/kotlin/io/kumquattrail/measure/limit/QuotaSimulation.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/limit/QuotaSimulation.kt
@@ -6,6 +6,7 @@
 import io.kumquattrail.decision.time.MonotonicTime
 import kotlin.math.abs
 import kotlin.random.Random
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
@@ -31,6 +32,7 @@
     private val gatewayCount: Int,
     private val requestsPerSecond: Double,
     private val change: GatewayChange,
+    private val warmUp: Duration,
     seed: Long,
 ) {
     private val events = EventQueue()
@@ -57,8 +59,8 @@
         updateViews()
         scheduleChange()
         scheduleRequest()
-        events.every(WINDOW, WARM_UP) { closeWindow() }
-        events.runUntil(MonotonicTime.ZERO + DURATION)
+        events.every(WINDOW, warmUp) { closeWindow() }
+        events.runUntil(MonotonicTime.ZERO + (warmUp + MEASURED))
         return outcome()
     }
 
@@ -87,7 +89,7 @@
             }
 
             GatewayChange.RESTARTS -> {
-                events.every(RESTART_INTERVAL, WARM_UP) {
+                events.every(RESTART_INTERVAL, warmUp) {
                     val name = live[random.nextInt(live.size)]
                     leave(listOf(name))
                     events.after(RESTART_INTERVAL / 2) { enter(listOf(name)) }
@@ -96,14 +98,14 @@
 
             GatewayChange.ZONE_OUT -> {
                 val zone = names.filterIndexed { index, _ -> index % ZONES == 0 }
-                events.after(WARM_UP + RESTART_INTERVAL) { leave(zone) }
-                events.after(WARM_UP + RESTART_INTERVAL * 3) { enter(zone) }
+                events.after(warmUp + RESTART_INTERVAL) { leave(zone) }
+                events.after(warmUp + RESTART_INTERVAL * 3) { enter(zone) }
             }
 
             GatewayChange.OWNERS_UNREACHABLE -> {
                 val cut = names.filterIndexed { index, _ -> index % 2 == 0 }.toSet()
-                events.after(WARM_UP + RESTART_INTERVAL) { reachable = { it !in cut } }
-                events.after(WARM_UP + RESTART_INTERVAL * 3) { reachable = { true } }
+                events.after(warmUp + RESTART_INTERVAL) { reachable = { it !in cut } }
+                events.after(warmUp + RESTART_INTERVAL * 3) { reachable = { true } }
             }
         }
     }
@@ -132,7 +134,7 @@
         val tokens = (Workload.PROMPT_TOKENS + workload.outputTokens()).toLong()
         val peer = peers.getValue(live[random.nextInt(live.size)])
         val decision = peer.policy.admit(workload.organisations[index].name, tokens, events.now)
-        if (events.now < MonotonicTime.ZERO + WARM_UP) return
+        if (events.now < MonotonicTime.ZERO + warmUp) return
         offered[index] += tokens.toDouble()
         if (decision !is QuotaDecision.Granted) return
         granted[index] += tokens.toDouble()
@@ -148,7 +150,7 @@
     }
 
     private fun outcome(): QuotaOutcome {
-        val seconds = (DURATION - WARM_UP).toDouble(DurationUnit.SECONDS)
+        val seconds = MEASURED.toDouble(DurationUnit.SECONDS)
         val permitted =
             DoubleArray(organisationCount) {
                 minOf(offered[it], limits.getValue(workload.organisations[it].name) * seconds)
@@ -159,15 +161,14 @@
             excess = (0 until organisationCount).sumOf { maxOf(0.0, granted[it] - permitted[it]) } / permitted.sum(),
             worstExcess = worstExcess,
             refusedBelowLimit = 1.0 - below.sumOf { granted[it] } / below.sumOf { offered[it] },
-            bytesPerSecond = 2.0 * network.bytes / gatewayCount / DURATION.toDouble(DurationUnit.SECONDS),
+            bytesPerSecond = 2.0 * network.bytes / gatewayCount / (warmUp + MEASURED).toDouble(DurationUnit.SECONDS),
         )
     }
 
     private companion object {
         const val WATCHED = 10
         const val ZONES = 3
-        val DURATION = 270.seconds
-        val WARM_UP = 180.seconds
+        val MEASURED = 90.seconds
         val WINDOW = 10.seconds
         val RESTART_INTERVAL = 15.seconds
         val VIEW_DELAY = 2.seconds
--- a/measure/src/main/kotlin/io/kumquattrail/measure/warning/DaySimulation.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/warning/DaySimulation.kt
@@ -55,7 +55,7 @@
         now: MonotonicTime,
     ) {
         if (event.kind == WarningKind.GUARANTEE_VIOLATED) {
-            val violation = InvariantViolation("P6", subjectOf(event), persistentMapOf("runs" to "2"))
+            val violation = InvariantViolation("P6", keyOf(event), persistentMapOf("runs" to "2"))
             processes.take(2).forEach { it.recordViolation(violation, now) }
         }
         if (event.isAnnounced) {
@@ -126,11 +126,13 @@
 
     private fun subjectOf(event: DayEvent): String =
         if (event.kind == WarningKind.GUARANTEE_VIOLATED) {
-            "P6/key-${event.startSecond}"
+            "P6/${keyOf(event)}"
         } else {
             services[event.service].value
         }
 
+    private fun keyOf(event: DayEvent): String = "key-${event.startSecond}"
+
     private fun labelAt(second: Int): String =
         events.find { second in it.startSecond..it.endSecond + SLACK_SECONDS }?.label ?: "nothing"
 
