--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/placement/IncrementalPlacement.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/placement/IncrementalPlacement.kt
@@ -30,16 +30,16 @@
 data class IncrementalSettings(
     val targetExcess: Double = 0.005,
     val minimumShareGain: Double = 0.004,
-    val minimumMoveGain: Double = 0.006,
-    val noiseWeight: Double = 0.3,
+    val minimumMoveGain: Double = 0.004,
+    val noiseWeight: Double = 0.15,
     val calmNoiseWeight: Double = 3.0,
     val noiseGainMaximum: Double = 0.02,
     val moveValueRatio: Double = 2.0,
     val movesPerLayer: Int = 12,
-    val trialsPerLayer: Int = 160,
-    val candidateRanks: Int = 8,
-    val candidateExperts: Int = 4,
-    val hotRanks: Int = 6,
+    val trialsPerLayer: Int = 500,
+    val candidateRanks: Int = 12,
+    val candidateExperts: Int = 6,
+    val hotRanks: Int = 12,
     val sweeps: Int = 24,
 )
 
--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/popularity/PopularityEstimator.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/popularity/PopularityEstimator.kt
@@ -34,7 +34,7 @@
     val gainMaximum: Double = 0.9,
     val errorGain: Double = 0.25,
     val trendGain: Double = 0.1,
-    val trendDamping: Double = 0.9,
+    val trendDamping: Double = 0.95,
     val peakDecay: Double = 0.985,
     val horizonMinimum: Duration = 60.seconds,
     val horizonMaximum: Duration = 3_600.seconds,
