--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/placement/IncrementalPlacement.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/placement/IncrementalPlacement.kt
@@ -19,6 +19,7 @@
  * @property noiseWeight part of the observations' noise that is added to both minimums.
  * @property calmNoiseWeight the same while popularity is calm.
  * @property noiseGainMaximum bound on what noise adds to the minimums; errors of the forecast count as noise as well.
+ * @property swingTolerance skew that is left in place while popularity swings, where moves would soon be made undone.
  * @property moveValueRatio ratio of a move's value to its price from which it is worth making.
  * @property movesPerLayer bound on the moves of one plan, averaged over the layers.
  * @property trialsPerLayer bound on the moves that are tried out in one plan, averaged over the layers.
@@ -34,6 +35,7 @@
     val noiseWeight: Double = 0.15,
     val calmNoiseWeight: Double = 3.0,
     val noiseGainMaximum: Double = 0.02,
+    val swingTolerance: Double = 0.06,
     val moveValueRatio: Double = 2.0,
     val movesPerLayer: Int = 12,
     val trialsPerLayer: Int = 500,
@@ -145,8 +147,11 @@
         moveLimit: Int,
         noise: Double,
     ): LayerPlan? {
-        val target = task.bound * (1 + settings.targetExcess)
-        if (task.skewAfterShares - task.bound / task.mean < settings.minimumMoveGain + noise) return null
+        val isSwinging = task.popularity.trend == PopularityTrend.SWINGING
+        val tolerance = if (isSwinging) settings.swingTolerance else 0.0
+        val minimumGain = settings.minimumMoveGain + noise + tolerance
+        val target = task.bound * (1 + settings.targetExcess + tolerance)
+        if (task.skewAfterShares - task.bound / task.mean < minimumGain) return null
         val seconds = task.popularity.horizon.toDouble(DurationUnit.SECONDS)
         val plan = task.plan.copy()
         val stagingBefore = budget.staging.copyOf()
@@ -163,7 +168,7 @@
             plan.balance(settings.sweeps)
             val gain = task.skewAfterShares - plan.maximum / task.mean
             val worth = price.value(gain, seconds) - settings.moveValueRatio * moves * price.cost(shape.expertBytes)
-            if (gain > settings.minimumMoveGain + noise && worth > bestWorth) {
+            if (gain > minimumGain && worth > bestWorth) {
                 best = plan.copy()
                 bestWorth = worth
                 stagingAtBest = budget.staging.copyOf()
--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/popularity/PopularityEstimator.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/popularity/PopularityEstimator.kt
@@ -181,10 +181,11 @@
             change += abs(step)
             state.slowLevel[expert] += SLOW_GAIN * (state.level[expert] - state.slowLevel[expert])
             displacement += abs(state.level[expert] - state.slowLevel[expert])
-            if (abs(step) > REVERSAL_THRESHOLD * before) {
-                val direction = sign(step)
-                if (state.direction[expert] * direction < 0) reversals += before
-                state.direction[expert] = direction
+            val distance = state.level[expert] - state.slowLevel[expert]
+            if (abs(distance) > REVERSAL_THRESHOLD * state.slowLevel[expert]) {
+                // The level crossed its long-term value and went clearly beyond it.
+                if (state.direction[expert] * distance < 0) reversals += before
+                state.direction[expert] = sign(distance)
             }
         }
         val scale = max(total, TINY)
--- a/decision/src/test/kotlin/io/kumquattrail/decision/expert/popularity/PopularityEstimatorSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/expert/popularity/PopularityEstimatorSpec.kt
@@ -7,6 +7,8 @@
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kumquattrail.decision.expert.GroupShape
+import kotlin.math.PI
+import kotlin.math.sin
 import kotlin.random.Random
 
 private val SHAPE = GroupShape(ranks = 4, layers = 1, experts = 2, slotsPerRank = 1, expertBytes = 1)
@@ -73,6 +75,22 @@
             }
         }
 
+        describe("the trend") {
+            fun trendAfter(periodWindows: Double): PopularityTrend {
+                val estimator = PopularityEstimator(SHAPE, SETTINGS)
+                for (window in 0L..119) {
+                    val swing = 50 * sin(2 * PI * window / periodWindows)
+                    estimator.observe(window, 100 + swing, 100 - swing)
+                }
+                return estimator.layer().trend
+            }
+
+            it("tells a swing from drift, where moves that are soon made undone would look worth their price") {
+                trendAfter(periodWindows = 40.0) shouldBe PopularityTrend.SWINGING
+                trendAfter(periodWindows = 960.0) shouldBe PopularityTrend.DRIFTING
+            }
+        }
+
         describe("the peak") {
             it("remembers a level that a swing returns to") {
                 val estimator = PopularityEstimator(SHAPE, SETTINGS)
