Measure recovery and spread the first comparisons

Cause: a trial of measure recovery restarted no process in its case single, and its baseline learned from peers, because peersChanged before start made the policy compare at once. The policy now does nothing before start and compares first at a random time within the interval.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/configuration/ExchangePolicy.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/configuration/ExchangePolicy.kt
@@ -25,7 +25,7 @@
     private var narrower: List<Peer> = emptyList()
     private var hasPeers = false
 
-    private var started = MonotonicTime.ZERO
+    private var started: MonotonicTime? = null
     private var askedAtStart = HashSet<ProcessName>()
     private var starting = true
 
@@ -57,7 +57,7 @@
     /** Begins the exchange. */
     fun start(now: MonotonicTime): List<ExchangeAction> {
         started = now
-        nextComparison = now
+        nextComparison = now + settings.compareInterval * random.nextDouble()
         return tick(now)
     }
 
@@ -72,7 +72,7 @@
         equals = others.filter { it.subscription == self.subscription }
         narrower = others.filter { it.subscription != self.subscription && self.subscription.covers(it.subscription) }
         schedule.peersChanged(others, now)
-        return if (starting) tick(now) else emptyList()
+        return if (starting && started != null) tick(now) else emptyList()
     }
 
     /** Does what is due at [now]. */
@@ -221,7 +221,7 @@
                 ask(next.name, now)
             }
 
-            hasPeers || now - started >= settings.peerListTimeout -> {
+            hasPeers || started?.let { now - it >= settings.peerListTimeout } == true -> {
                 starting = false
                 schedule.allow(now, hasRecords = state.revision > 0)
             }
--- a/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
@@ -2,6 +2,7 @@
 
 import io.kumquattrail.measure.fleet.ConfigurationMeasurement
 import io.kumquattrail.measure.fleet.MembershipMeasurement
+import io.kumquattrail.measure.fleet.RecoveryMeasurement
 
 /** Lists all measurements that the command line offers. */
 object Measurements {
@@ -9,6 +10,7 @@
         listOf(
             ConfigurationMeasurement,
             MembershipMeasurement,
+            RecoveryMeasurement,
         )
 
     /** Finds the measurement called [name], or `null`. */
--- a/measure/src/main/kotlin/io/kumquattrail/measure/fleet/ConfigurationFleet.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/fleet/ConfigurationFleet.kt
@@ -24,6 +24,9 @@
     /** Called whenever a process moves to another revision. */
     var inEffect: (Node) -> Unit = {}
 
+    /** Called when a process's configuration is confirmed. */
+    var confirmed: (Node) -> Unit = {}
+
     /** Number of times that a process had an older configuration in effect than before. */
     var reverts = 0
         private set
@@ -129,7 +132,11 @@
                     inEffect(this)
                 }
 
-                ExchangeAction.Confirmed, is ExchangeAction.NotApplied -> {
+                ExchangeAction.Confirmed -> {
+                    confirmed(this)
+                }
+
+                is ExchangeAction.NotApplied -> {
                     Unit
                 }
             }
