--- a/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
@@ -10,6 +10,7 @@
 import io.kumquattrail.measure.routing.RoutingMeasurement
 import io.kumquattrail.measure.warning.WarningsMeasurement
 import io.kumquattrail.measure.zone.ZoneMeasurement
+import io.kumquattrail.measure.fleet.RecoveryMeasurement
 
 /** Lists all measurements that the command line offers. */
 object Measurements {
@@ -25,6 +26,7 @@
             WarningsMeasurement,
             ConfigurationMeasurement,
             MembershipMeasurement,
+            RecoveryMeasurement,
         )
 
     /** Finds the measurement called [name], or `null`. */
