--- a/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
@@ -3,13 +3,14 @@
 import io.kumquattrail.measure.expert.MapSwitchMeasurement
 import io.kumquattrail.measure.expert.RebalanceCostMeasurement
 import io.kumquattrail.measure.expert.StepSkewMeasurement
+import io.kumquattrail.measure.fleet.ConfigurationMeasurement
+import io.kumquattrail.measure.fleet.MembershipMeasurement
 import io.kumquattrail.measure.idempotency.AtMostOnceMeasurement
 import io.kumquattrail.measure.limit.LimitsMeasurement
+import io.kumquattrail.measure.matrix.FaultMatrixMeasurement
 import io.kumquattrail.measure.routing.RoutingMeasurement
-import io.kumquattrail.measure.zone.ZoneMeasurement
 import io.kumquattrail.measure.warning.WarningsMeasurement
-import io.kumquattrail.measure.fleet.ConfigurationMeasurement
-import io.kumquattrail.measure.fleet.MembershipMeasurement
+import io.kumquattrail.measure.zone.ZoneMeasurement
 
 /** Lists all measurements that the command line offers. */
 object Measurements {
@@ -25,6 +26,7 @@
             WarningsMeasurement,
             ConfigurationMeasurement,
             MembershipMeasurement,
+            FaultMatrixMeasurement,
         )
 
     /** Finds the measurement called [name], or `null`. */
--- a/measure/src/main/kotlin/io/kumquattrail/measure/fleet/ConfigurationFleet.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/fleet/ConfigurationFleet.kt
@@ -6,6 +6,7 @@
 import io.kumquattrail.decision.configuration.ExchangeSettings
 import io.kumquattrail.decision.time.MonotonicTime
 import kotlin.random.Random
+import kotlin.time.Duration
 
 /** Runs the product's exchange of configuration in every process of a simulated fleet. */
 internal class ConfigurationFleet(
@@ -45,6 +46,7 @@
         private val peer = layout.peers[index]
         private var life = 0
         private var wakeAt: MonotonicTime? = null
+        private var pausedUntil = MonotonicTime.ZERO
         var isUp = false
             private set
         var startedAt = MonotonicTime.ZERO
@@ -66,10 +68,16 @@
             life += 1
         }
 
+        /** Stops the process for [duration], as a hypervisor does; messages and timers wait. */
+        fun pause(duration: Duration) {
+            pausedUntil = queue.now + duration
+        }
+
         /** Starts the process again without anything that it knew. */
         fun restart() {
             life += 1
             wakeAt = null
+            pausedUntil = MonotonicTime.ZERO
             state = newState()
             policy = newPolicy()
             start()
@@ -84,7 +92,8 @@
             since: Int,
             input: () -> Unit,
         ) {
-            if (isUp && life == since) input()
+            if (!isUp || life != since) return
+            if (queue.now < pausedUntil) queue.at(pausedUntil) { alive(since, input) } else input()
         }
 
         private fun perform(actions: List<ExchangeAction>) {
@@ -143,11 +152,13 @@
                     alive(since) { perform(policy.peerFailed(action.peer, queue.now)) }
                     return@send
                 }
-                val reply = receiver.policy.requested(action.message, queue.now)
-                network.send(receiver.index, index, WireSizes.exchange(reply.answer)) {
-                    alive(since) { perform(policy.answered(reply.answer, queue.now)) }
+                receiver.alive(receiver.life) {
+                    val reply = receiver.policy.requested(action.message, queue.now)
+                    network.send(receiver.index, index, WireSizes.exchange(reply.answer)) {
+                        alive(since) { perform(policy.answered(reply.answer, queue.now)) }
+                    }
+                    receiver.perform(reply.actions)
                 }
-                receiver.perform(reply.actions)
             }
         }
     }
--- a/measure/src/main/kotlin/io/kumquattrail/measure/fleet/FleetNetwork.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/fleet/FleetNetwork.kt
@@ -21,6 +21,9 @@
     var lateRatio = 0.0
     var latest: Duration = Duration.ZERO
 
+    /** Ratio of messages that arrive twice. */
+    var duplicateRatio = 0.0
+
     /** Tells whether a message from one process to another is cut off by a partition. */
     var isCut: (Int, Int) -> Boolean = { _, _ -> false }
 
@@ -39,6 +42,17 @@
         messages += 1
         bytes[from] += total.toLong()
         if (isCut(from, to) || random.nextDouble() < lossRatio) return
+        // No number is drawn without the fault, so the runs of other measurements stay as they are.
+        val copies = if (duplicateRatio > 0 && random.nextDouble() < duplicateRatio) 2 else 1
+        repeat(copies) { deliverCopy(from, to, total, deliver) }
+    }
+
+    private fun deliverCopy(
+        from: Int,
+        to: Int,
+        total: Int,
+        deliver: () -> Unit,
+    ) {
         val late = if (random.nextDouble() < lateRatio) latest * random.nextDouble() else Duration.ZERO
         queue.after(delay(from, to, total) + late) {
             bytes[to] += total.toLong()
