--- a/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
@@ -11,6 +11,7 @@
 import io.kumquattrail.measure.warning.WarningsMeasurement
 import io.kumquattrail.measure.zone.ZoneMeasurement
 import io.kumquattrail.measure.fleet.RecoveryMeasurement
+import io.kumquattrail.measure.matrix.FaultMatrixMeasurement
 
 /** Lists all measurements that the command line offers. */
 object Measurements {
@@ -27,6 +28,7 @@
             ConfigurationMeasurement,
             MembershipMeasurement,
             RecoveryMeasurement,
+            FaultMatrixMeasurement,
         )
 
     /** Finds the measurement called [name], or `null`. */
