--- a/gateway/src/main/kotlin/io/kumquattrail/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/kumquattrail/gateway/GatewayProcess.kt
@@ -13,7 +13,6 @@
 import io.kumquattrail.decision.refusal.Refusal
 import io.kumquattrail.decision.refusal.RefusalReason
 import io.kumquattrail.decision.refusal.RunState
-import io.kumquattrail.decision.suspect.Treatment
 import io.kumquattrail.gateway.call.AttemptSender
 import io.kumquattrail.gateway.call.CallEnd
 import io.kumquattrail.gateway.call.CallRunner
@@ -23,6 +22,8 @@
 import io.kumquattrail.gateway.http.ProblemDocument
 import io.kumquattrail.gateway.http.RequestHandler
 import io.kumquattrail.gateway.http.truthfulFor
+import io.kumquattrail.gateway.limit.LocalLimits
+import io.kumquattrail.gateway.limit.QuotaExchange
 import io.kumquattrail.gateway.request.CallClassifier
 import io.kumquattrail.gateway.request.ClassifiedRequest
 import io.kumquattrail.gateway.request.IncomingRequest
@@ -61,9 +62,11 @@
 ) : RequestHandler {
     private val log = PartLogger("gateway")
     private val node = NodeRuntime(settings.node, vertx, clock, random, RecordSubscription.ALL)
+    private val quota = QuotaExchange(node)
+    private val limits = LocalLimits(node, quota)
     private val selection = ServerSelection.byTokenCost(node, settings.node.zone)
     private val budget = RetryBudget()
-    private val sender = AttemptSender(node, selection)
+    private val sender = AttemptSender(node, selection, limits)
     private val calls =
         CallRunner(sender, RetryPolicy({ now -> synchronized(budget) { budget.tryRetry(now) } }), clock)
     private val parser = RequestParser(settings.defaultTimeout, settings.longestTimeout)
@@ -81,8 +84,9 @@
 
     /** Opens the ports and returns the port for callers. */
     suspend fun start(): Int {
-        node.openRpc(emptyList())
+        node.openRpc(listOf(quota.rpc))
         node.start(GatewayReadiness())
+        quota.start()
         val port = callers.start()
         log.info("started", "zone" to settings.node.zone, "callers" to settings.callers.copy(port = port))
         return port
@@ -188,6 +192,7 @@
     ): CallEnd {
         synchronized(budget) { budget.recordFresh(clock.monotonic()) }
         val requestId = "$requestPrefix-${requestCount.incrementAndGet()}"
+        sink.identify(requestId)
         val refusal =
             if (ready()) {
                 null
@@ -205,22 +210,6 @@
         return end
     }
 
-    private fun localRefusal(request: ClassifiedRequest): Refusal? =
-        when (val treatment = node.suspects.treatment(request.fingerprint)) {
-            is Treatment.Blocked -> {
-                Refusal(
-                    reason = RefusalReason.REQUEST_CRASHES_SERVERS,
-                    runState = RunState.NO,
-                    detail = "The request crashed backend servers that ran it.",
-                    retryAfter = treatment.remaining,
-                )
-            }
-
-            Treatment.Alone, Treatment.Normal -> {
-                null
-            }
-        }
-
     private fun records(): RecordSet = node.records
 
     private fun ready(): Boolean = records().revision > 0
--- a/gateway/src/main/kotlin/io/kumquattrail/gateway/call/AttemptSender.kt
+++ b/gateway/src/main/kotlin/io/kumquattrail/gateway/call/AttemptSender.kt
@@ -3,6 +3,7 @@
 import com.google.protobuf.UnsafeByteOperations
 import io.grpc.CallOptions
 import io.grpc.StatusException
+import io.kumquattrail.decision.admission.LoadReport
 import io.kumquattrail.decision.delivery.CallAction
 import io.kumquattrail.decision.delivery.CallEvent
 import io.kumquattrail.decision.delivery.FrameContent
@@ -15,6 +16,7 @@
 import io.kumquattrail.decision.suspect.Treatment
 import io.kumquattrail.decision.time.MonotonicTime
 import io.kumquattrail.decision.timeline.TimelineEvent
+import io.kumquattrail.gateway.limit.LocalLimits
 import io.kumquattrail.gateway.request.ClassifiedRequest
 import io.kumquattrail.node.NodeRuntime
 import io.kumquattrail.protocol.toFrame
@@ -31,6 +33,7 @@
 class AttemptSender(
     private val node: NodeRuntime,
     private val selection: ServerSelection,
+    private val limits: LocalLimits,
 ) {
     /** Sends [attempt] of [request] and reports everything that follows to [report], until the attempt has ended. */
     suspend fun send(
@@ -154,7 +157,7 @@
             val options = CallOptions.DEFAULT.withStreamTracerFactory(tracer)
             stub(server.record, options).execute(message).collect { received ->
                 if (received.hasBroken() && received.broken.serverCrashed) noteCrash(received)
-                if (received.hasLoad()) received.load.toLoadReport()?.let { selection.observed(server.record, it) }
+                if (received.hasLoad()) received.load.toLoadReport()?.let { observed(server.record, it) }
                 val frame = received.toFrame() ?: return@collect
                 last = frame.content
                 if (!firstToken && frame.content is FrameContent.Chunk) {
@@ -176,6 +179,14 @@
         return end(last)
     }
 
+    private fun observed(
+        server: BackendServerRecord,
+        load: LoadReport,
+    ) {
+        selection.observed(server, load)
+        limits.observed(server.service, server.name, load)
+    }
+
     private fun noteCrash(frame: ExecuteFrame) {
         val agent = Incarnation.parse(frame.incarnation) ?: return
         node.suspects.crashed(Crash(agent, frame.broken.suspectsList.toSet(), frame.broken.alone))
--- a/gateway/src/main/kotlin/io/kumquattrail/gateway/http/HttpAnswerSink.kt
+++ b/gateway/src/main/kotlin/io/kumquattrail/gateway/http/HttpAnswerSink.kt
@@ -22,6 +22,11 @@
         if (response.closed()) closed.complete(Unit)
     }
 
+    /** Sets the header by which a person finds the request in the timeline. */
+    fun identify(requestId: String) {
+        if (!unusable()) response.putHeader("X-Request-Id", requestId)
+    }
+
     override suspend fun head(
         status: Int,
         headers: Map<String, String>,
--- a/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
@@ -5,13 +5,13 @@
 import io.kumquattrail.measure.expert.StepSkewMeasurement
 import io.kumquattrail.measure.fleet.ConfigurationMeasurement
 import io.kumquattrail.measure.fleet.MembershipMeasurement
+import io.kumquattrail.measure.fleet.RecoveryMeasurement
 import io.kumquattrail.measure.idempotency.AtMostOnceMeasurement
 import io.kumquattrail.measure.limit.LimitsMeasurement
+import io.kumquattrail.measure.matrix.FaultMatrixMeasurement
 import io.kumquattrail.measure.routing.RoutingMeasurement
 import io.kumquattrail.measure.warning.WarningsMeasurement
 import io.kumquattrail.measure.zone.ZoneMeasurement
-import io.kumquattrail.measure.fleet.RecoveryMeasurement
-import io.kumquattrail.measure.matrix.FaultMatrixMeasurement
 
 /** Lists all measurements that the command line offers. */
 object Measurements {
