--- a/decision/src/main/kotlin/io/kumquattrail/decision/routing/ServerTable.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/routing/ServerTable.kt
@@ -68,7 +68,7 @@
         val cost = TokenCost(request.promptTokens - cachedTokens, request.outputTokens)
         val assignment = Assignment(server.target.name, cost, cachedTokens, now)
         server.assignments += assignment
-        server.sentSinceReport += 1
+        if (now >= server.reportTakenAt) server.sentSinceReport += 1
         return RoutingDecision.Chosen(assignment)
     }
 
@@ -79,7 +79,7 @@
     ) {
         val state = find(assignment.server) ?: return
         if (!state.assignments.remove(assignment)) return
-        if (assignment.sentAt > state.reportTakenAt) state.sentSinceReport -= 1
+        if (assignment.sentAt >= state.reportTakenAt) state.sentSinceReport -= 1
         when (end) {
             AssignmentEnd.Completed -> {
                 state.consecutiveBreaks = 0
@@ -109,7 +109,7 @@
         if (state.report != null && takenAt < state.reportTakenAt) return null
         state.report = report
         state.reportTakenAt = takenAt
-        state.sentSinceReport = state.assignments.count { it.sentAt > takenAt }
+        state.sentSinceReport = state.assignments.count { it.sentAt >= takenAt }
         return state
     }
 
--- a/decision/src/main/kotlin/io/kumquattrail/decision/routing/TokenCostRouting.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/routing/TokenCostRouting.kt
@@ -60,7 +60,8 @@
         var leastCost = Double.MAX_VALUE
         for (candidate in candidates) {
             val cost = cost(candidate, request, now)
-            if (cost < leastCost) {
+            // Draws follow the published weights; a difference within the error of the estimate must not undo that.
+            if (cost < leastCost * SIGNIFICANT_SHARE) {
                 best = candidate
                 leastCost = cost
             }
@@ -283,6 +284,7 @@
     private companion object {
         const val INITIAL_PROMPT_MILLISECONDS = 0.1
         const val OVERHEAD_TOKENS = 256
+        const val SIGNIFICANT_SHARE = 0.9
         const val QUEUE_MILLISECONDS = 150.0
         const val MINIMUM_RATIO = 0.2
         const val MAXIMUM_RATIO = 10.0
--- a/measure/src/main/kotlin/io/kumquattrail/measure/zone/ZoneScenario.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/zone/ZoneScenario.kt
@@ -197,7 +197,7 @@
                 ModelRequest(
                     organisation = OrganisationName("organisation-${random.nextInt(ORGANISATIONS)}"),
                     promptTokens = LEDGER_PROMPT_TOKENS,
-                    outputTokens = 2,
+                    outputTokens = LEDGER_OUTPUT_TOKENS,
                     prefix = emptyList(),
                     isRepeatable = false,
                 )
@@ -231,8 +231,9 @@
         private const val LEDGERS = 3
         private const val GATEWAYS = 6
         private const val ORGANISATIONS = 10
-        private const val LEDGER_REQUESTS_PER_SECOND = 20.0
+        private const val LEDGER_REQUESTS_PER_SECOND = 60.0
         private const val LEDGER_PROMPT_TOKENS = 20
+        private const val LEDGER_OUTPUT_TOKENS = 6
         private val LEDGER_LIMITS =
             ServerLimits(warmConcurrency = 16, warmTokens = 4_000, coldConcurrency = 4, coldTokens = 1_000)
         private val ZONE = ZoneName("zone-0")
