--- a/decision/src/test/kotlin/io/kumquattrail/decision/routing/TokenCostRoutingSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/routing/TokenCostRoutingSpec.kt
@@ -123,6 +123,18 @@
                 val counts = Gateway(List(8) { target(it, weight = if (it == 0) 4 else 1) }).counts()
                 counts.getValue(0) shouldBeGreaterThan 2 * counts.getValue(1)
             }
+
+            it("keeps to published weights when first tokens vary, whose noise is no evidence") {
+                val gateway = Gateway(List(8) { target(it, weight = if (it == 0) 4 else 1) })
+                val random = Random(1)
+                val chosen =
+                    (1..CHOICES).map {
+                        val assignment = checkNotNull(gateway.choose())
+                        gateway.complete(assignment, firstTokenMilliseconds = random.nextInt(40, 60))
+                        assignment.server.value
+                    }
+                chosen.count { it == "server-0" } shouldBeGreaterThan 2 * chosen.count { it == "server-1" }
+            }
         }
 
         describe("a prefix") {
--- a/measure/src/main/kotlin/io/kumquattrail/measure/routing/Figures.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/routing/Figures.kt
@@ -12,6 +12,8 @@
     private var promptTokens = 0L
     private var cachedTokens = 0L
     private var spreadSum = 0.0
+    private var decisionNanoseconds = 0L
+    private var decisions = 0L
     private var spreadSamples = 0
     var isRecording = false
     var coldLimitViolations = 0
@@ -34,6 +36,13 @@
         if (isRecording) firstToken.recordValue(microseconds(duration))
     }
 
+    /** Records the processor time of a choice, which differs between runs of the same seed. */
+    fun recordDecision(nanoseconds: Long) {
+        if (!isRecording) return
+        decisionNanoseconds += nanoseconds
+        decisions += 1
+    }
+
     fun recordTokens(
         duration: Duration,
         count: Int,
@@ -64,6 +73,9 @@
 
     val cacheHitRatio: Double get() = if (promptTokens == 0L) 0.0 else cachedTokens.toDouble() / promptTokens
 
+    val meanDecisionMicroseconds: Double
+        get() = if (decisions == 0L) 0.0 else decisionNanoseconds / 1_000.0 / decisions
+
     val loadSpread: Double get() = if (spreadSamples == 0) 0.0 else spreadSum / spreadSamples
 
     fun firstTokenMilliseconds(percentile: Double): Double = firstToken.getValueAtPercentile(percentile) / 1_000.0
--- a/measure/src/main/kotlin/io/kumquattrail/measure/routing/RoutingMeasurement.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/routing/RoutingMeasurement.kt
@@ -101,6 +101,7 @@
             "cache_hit_ratio" to rounded(figures.cacheHitRatio),
             "load_spread" to rounded(figures.loadSpread),
             "first_tokens" to figures.firstTokenCount,
+            "decision_mean_us" to rounded(figures.meanDecisionMicroseconds),
         )
     }
 
