Check that agents are no readers where a zone has gateways

The check built only gateways, because it looked at the last character of a name that ends with the port, so it passed without the rule. It now compares the readers of a mixed zone and fails without the rule.

--- a/decision/src/test/kotlin/io/kumquattrail/decision/configuration/ExchangePolicySpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/configuration/ExchangePolicySpec.kt
@@ -187,19 +187,24 @@
 
             it("are left to gateways, as agents cannot supply them with organisations") {
                 val mixed =
-                    peers.map {
-                        if (it.name.value.last() in
-                            "012345"
-                        ) {
-                            it
-                        } else {
-                            it.copy(subscription = RecordSubscription.AGENT)
-                        }
+                    peers.indices.map {
+                        peer(
+                            it,
+                            if (it <
+                                6
+                            ) {
+                                RecordSubscription.ALL
+                            } else {
+                                RecordSubscription.AGENT
+                            },
+                        )
                     }
-                val agent = mixed.last()
-                val policy = ExchangePolicy(agent, ConfigurationState(testDecoder, agent.subscription), Random(1))
-                policy.peersChanged(mixed, start)
-                policy.isReader shouldBe false
+                val readers =
+                    mixed.filter { candidate ->
+                        val state = ConfigurationState(testDecoder, candidate.subscription)
+                        ExchangePolicy(candidate, state, Random(1)).also { it.peersChanged(mixed, start) }.isReader
+                    }
+                readers.map { it.subscription }.distinct() shouldBe listOf(RecordSubscription.ALL)
             }
 
             it("of a fleet that restarts while the service is down stay far below 2,000 a second") {
