Keep suspicions local, so that partitions heal without a storm

Cause: suspicions were passed on to the whole fleet. At 1,200 processes, 35 s after a partition of the regions healed, 441,076 entries of views were still suspected, and refutations filled the updates of every message. A suspicion is now told only to the suspect; verdicts are passed on as before.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/membership/FailureDetector.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/membership/FailureDetector.kt
@@ -34,7 +34,6 @@
 
     private val queue = UpdateQueue(settings)
     private val accusations = LinkedHashMap<ProcessName, Accusation>()
-    private val foreignSuspicions = HashMap<ProcessName, MonotonicTime>()
     private val relays = ArrayList<Relay>()
     private val lastContacts = HashMap<ProcessName, MonotonicTime>()
 
@@ -47,7 +46,6 @@
     private var check: FleetCheck? = null
     private var nextProbe: MonotonicTime? = null
     private var nextDeadProbe = MonotonicTime.ZERO
-    private var nextExpiryCheck = MonotonicTime.ZERO
     private var lastCall: MonotonicTime? = null
 
     /** Time at which [tick] has something to do next. */
@@ -100,7 +98,6 @@
             continueProbe(now)
             continueCheck(now)
             if (nextDeadProbe <= now) probeDead(now)
-            dropExpiredSuspicions(now)
         }
 
     /** Takes in [message] of a peer. */
@@ -113,13 +110,13 @@
             val sender = header.sender
             lastContacts[sender] = now
             val known = view.members[sender]
-            view.heardFrom(sender, header.incarnation, header.counter, header.zone)?.let { changed(it, now) }
+            view.heardFrom(sender, header.incarnation, header.counter, header.zone)?.let { changed(it) }
             // A process that raised its counter refuted a suspicion that others may still hold.
             if (known != null && known.state != MemberState.ALIVE && header.counter > known.counter) passOn(sender)
             if (view.state(sender) == MemberState.ALIVE) accusations.remove(sender)
             probe?.let { if (it.target == sender) it.answered = true }
             check?.silent?.remove(sender)
-            header.updates.forEach { merge(it, now) }
+            header.updates.forEach { merge(it) }
             when (message) {
                 is MembershipMessage.Probe -> send(sender, MembershipMessage.Answer(header(sender)))
                 is MembershipMessage.Answer -> answerRelays(sender)
@@ -132,27 +129,17 @@
     fun updatesFor(peer: ProcessName): List<MemberUpdate> = header(peer).updates
 
     /** Takes in updates that came with a message of another kind. */
-    fun received(
-        updates: List<MemberUpdate>,
-        now: MonotonicTime,
-    ): List<MembershipAction> = buildList { updates.forEach { merge(it, now) } }
+    fun received(updates: List<MemberUpdate>): List<MembershipAction> = buildList { updates.forEach { merge(it) } }
 
-    private fun MutableList<MembershipAction>.merge(
-        update: MemberUpdate,
-        now: MonotonicTime,
-    ) {
+    private fun MutableList<MembershipAction>.merge(update: MemberUpdate) {
         if (update.process == self) {
             refute(update)
             return
         }
-        val change = view.merge(update)
-        if (change != null) {
-            queue.add(change.member.toUpdate())
-            changed(change, now)
-        }
-        if (update.state == MemberState.SUSPECTED && view.state(update.process) == MemberState.SUSPECTED) {
-            foreignSuspicions[update.process] = now + settings.suspicionExpiry
-        }
+        if (update.state == MemberState.SUSPECTED) return
+        val change = view.merge(update) ?: return
+        queue.add(change.member.toUpdate())
+        changed(change)
     }
 
     private fun MutableList<MembershipAction>.refute(update: MemberUpdate) {
@@ -163,24 +150,16 @@
         add(MembershipAction.Refuted(counter))
     }
 
-    private fun MutableList<MembershipAction>.changed(
-        change: MemberChange,
-        now: MonotonicTime,
-    ) {
+    private fun MutableList<MembershipAction>.changed(change: MemberChange) {
         forgetUnlessSuspected(change)
         // Suspected processes stay candidates, so a suspicion changes neither the rings nor the sample.
         val isCandidate = change.member.state.isCandidate
         if (change.previous?.isCandidate != isCandidate) isStale = true
-        if (change.member.state == MemberState.SUSPECTED) {
-            foreignSuspicions[change.member.process] = now + settings.suspicionExpiry
-        }
         add(MembershipAction.Changed(change))
     }
 
     private fun forgetUnlessSuspected(change: MemberChange) {
-        if (change.member.state == MemberState.SUSPECTED) return
-        accusations.remove(change.member.process)
-        foreignSuspicions.remove(change.member.process)
+        if (change.member.state != MemberState.SUSPECTED) accusations.remove(change.member.process)
     }
 
     private fun MutableList<MembershipAction>.continueProbe(now: MonotonicTime) {
@@ -210,10 +189,9 @@
     ) {
         if (target in accusations || view.members[target]?.state?.isCandidate != true) return
         accusations[target] = Accusation(nextCheck = now + settings.suspicionTime, pause = settings.suspicionTime)
-        view.decide(target, MemberState.SUSPECTED, ChangeCause.DID_NOT_ANSWER)?.let {
-            changed(it, now)
-            passOn(target)
-        }
+        // A suspicion is told only to the suspect: passed on, the suspicions of a partition and their refutations would
+        // fill the messages of the whole fleet for minutes after it healed.
+        view.decide(target, MemberState.SUSPECTED, ChangeCause.DID_NOT_ANSWER)?.let { changed(it) }
     }
 
     private fun MutableList<MembershipAction>.continueCheck(now: MonotonicTime) {
@@ -257,13 +235,12 @@
             isWithin(silentZonePeers, ended.zonePeers.size, settings.checkSilentZoneMost, settings.checkZonePeers)
         ) {
             view.decide(ended.suspect, MemberState.DEAD, ChangeCause.VERDICT)?.let {
-                changed(it, now)
+                changed(it)
                 passOn(ended.suspect)
             }
         } else {
             accusation.pause = (accusation.pause * 2).coerceAtMost(settings.recheckLongest)
             accusation.nextCheck = now + accusation.pause * (JITTER_LOWEST + random.nextDouble())
-            foreignSuspicions[ended.suspect] = now + settings.suspicionExpiry
             add(
                 MembershipAction.VerdictSuspended(
                     suspect = ended.suspect,
@@ -282,7 +259,7 @@
         sampled: Int,
         silentMost: Int,
         usual: Int,
-    ): Boolean = sampled == 0 || (silent < sampled && silent <= ceil(silentMost * sampled / usual.toDouble()))
+    ): Boolean = sampled == 0 || (silent < sampled && silent <= ceil(silentMost * (sampled / usual.toDouble())))
 
     // A process that was paused finds all its timers expired, although its peers had no chance to answer.
     private fun resume(now: MonotonicTime) {
@@ -300,17 +277,6 @@
             ?.let { send(it.process, MembershipMessage.Probe(header(it.process))) }
     }
 
-    private fun MutableList<MembershipAction>.dropExpiredSuspicions(now: MonotonicTime) {
-        if (foreignSuspicions.isEmpty() || nextExpiryCheck > now) return
-        nextExpiryCheck = now + settings.probeInterval
-        foreignSuspicions.entries.filter { it.value <= now && it.key !in accusations }.forEach { (process, _) ->
-            foreignSuspicions.remove(process)
-            view.decide(process, MemberState.ALIVE, ChangeCause.SUSPICION_EXPIRED)?.let {
-                add(MembershipAction.Changed(it))
-            }
-        }
-    }
-
     private fun MutableList<MembershipAction>.relay(
         message: MembershipMessage.ProbeThrough,
         now: MonotonicTime,
@@ -341,10 +307,17 @@
         send(relay.requester, MembershipMessage.ProbeThroughResult(header, relay.target, reached))
     }
 
-    private fun reported(message: MembershipMessage.ProbeThroughResult) {
+    private fun MutableList<MembershipAction>.reported(message: MembershipMessage.ProbeThroughResult) {
         val current = probe ?: return
         if (current.target != message.target) return
-        if (message.reached) current.answered = true else current.reportedSilent = true
+        if (message.reached) {
+            current.answered = true
+            if (message.target in accusations) {
+                view.decide(message.target, MemberState.ALIVE, ChangeCause.ANSWERED)?.let { changed(it) }
+            }
+        } else {
+            current.reportedSilent = true
+        }
     }
 
     private fun MutableList<MembershipAction>.send(
--- a/decision/src/main/kotlin/io/kumquattrail/decision/membership/FailureDetectorSettings.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/membership/FailureDetectorSettings.kt
@@ -16,7 +16,6 @@
  * @property checkSilentMost silent peers in the fleet with which a verdict is still given.
  * @property checkSilentZoneMost silent peers in the zone with which a verdict is still given.
  * @property recheckLongest longest time between two checks while verdicts are suspended.
- * @property suspicionExpiry time after which a suspicion that only others hold and do not repeat is dropped.
  * @property updateBytes largest size of the updates in one message, in bytes.
  * @property sendsPerLogarithm how often an update is passed on, per natural logarithm of the fleet's size.
  * @property deadProbeInterval time between probes of processes that are believed dead.
@@ -32,7 +31,6 @@
     val checkSilentMost: Int = 1,
     val checkSilentZoneMost: Int = 2,
     val recheckLongest: Duration = 30.seconds,
-    val suspicionExpiry: Duration = 90.seconds,
     val updateBytes: Int = 400,
     val sendsPerLogarithm: Double = 3.0,
     val deadProbeInterval: Duration = 10.seconds,
--- a/decision/src/main/kotlin/io/kumquattrail/decision/membership/Member.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/membership/Member.kt
@@ -97,5 +97,4 @@
     ANSWERED,
     DID_NOT_ANSWER,
     VERDICT,
-    SUSPICION_EXPIRED,
 }
