Add requests, streams, admission and zone changes to the fault matrix

The matrix lacked the protocols over CallState, StreamAssembler and AdmissionController. One simulation of callers, a gateway and four agents with a server each now runs request, stream, admission, zone change, graceful shutdown and process start.

--- a/measure/src/main/kotlin/io/kumquattrail/measure/matrix/FaultMatrix.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/matrix/FaultMatrix.kt
@@ -3,7 +3,7 @@
 /** Lists the cells of the fault matrix. */
 internal object FaultMatrix {
     val scenarios: List<ProtocolScenario> =
-        listOf(UnrepeatableCallScenario, MapChangeScenario, ConfigurationScenario)
+        ServingScenario.all + listOf(UnrepeatableCallScenario, MapChangeScenario, ConfigurationScenario)
 
     /** Cells with one fault. */
     val singles: List<MatrixCell>
