--- a/demo/src/main/kotlin/io/kumquattrail/demo/DemoLoad.kt
+++ b/demo/src/main/kotlin/io/kumquattrail/demo/DemoLoad.kt
@@ -76,42 +76,60 @@
         if (text == ModelEngine.expectedText(prompt, TOKENS)) counters.whole.incrementAndGet() else torn()
     }
 
-    // A caller that got no answer sends the posting again through the other gateway, with the same key and the ticket of
-    // the last refusal.
+    // A caller that got no answer sends the posting again with the same key through the other gateway. After a refusal
+    // that proves that nothing has run it takes a new key, which a server in service issues.
     private suspend fun post(index: Int) {
-        val reference = "posting-$index"
-        val key = versionSevenKey()
-        val body = JsonObject().put("reference", reference).put("amount", index)
-        var ticket: String? = null
+        val body = JsonObject().put("reference", "posting-$index").put("amount", index)
+        var key = versionSevenKey()
         repeat(POSTING_SENDS) { sending ->
             val port = ports[(index + sending) % ports.size]
-            val response = request(index, "/services/${LocalFleet.LEDGER}/postings", body, key, port, ticket)
-            ticket = response?.getHeader("Idempotency-Ticket") ?: ticket
-            when (response?.statusCode()) {
-                HTTP_CREATED -> {
+            val response = request(index, "/services/${LocalFleet.LEDGER}/postings", body, key, port)
+            when {
+                response == null -> {
+                    Unit
+                }
+
+                response.statusCode() == HTTP_CREATED -> {
                     counters.whole.incrementAndGet()
                     return
                 }
 
-                null -> {
-                    Unit
+                sending == POSTING_SENDS - 1 -> {
+                    return refused(response)
                 }
 
                 else -> {
-                    if (sending == POSTING_SENDS - 1) return refused(response)
+                    delay(RESEND_PAUSE)
+                    if (JsonObject(response.bodyAsString()).getString("run") ==
+                        "no"
+                    ) {
+                        key = issuedKey(index, port) ?: key
+                    }
                 }
             }
         }
         torn()
     }
 
+    private suspend fun issuedKey(
+        index: Int,
+        port: Int,
+    ): String? {
+        val body = JsonObject().put("service", LocalFleet.LEDGER).put("count", 1)
+        val response = request(index, "/v1/idempotency-keys", body, key = null, port = port)
+        return response
+            ?.takeIf { it.statusCode() == HTTP_OK }
+            ?.bodyAsJsonObject()
+            ?.getJsonArray("keys")
+            ?.getString(0)
+    }
+
     private suspend fun request(
         index: Int,
         path: String,
         body: JsonObject,
         key: String?,
         port: Int,
-        ticket: String? = null,
     ): HttpResponse<io.vertx.core.buffer.Buffer>? {
         val organisation = ORGANISATIONS[index % ORGANISATIONS.size]
         val request =
@@ -121,7 +139,6 @@
                 .putHeader("Request-Timeout", "10")
                 .`as`(BodyCodec.buffer())
         key?.let { request.putHeader("Idempotency-Key", it) }
-        ticket?.let { request.putHeader("Idempotency-Ticket", it) }
         return try {
             request.sendJsonObject(body).coAwait()
         } catch (_: IOException) {
