--- a/decision/src/main/kotlin/io/kumquattrail/decision/routing/PrefixIndex.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/routing/PrefixIndex.kt
@@ -61,30 +61,25 @@
         feeds.getOrPut(server) { Feed(lastSequence = -1) }.epoch += FORGOTTEN_AGE
     }
 
-    /** Returns up to [maximum] servers that probably hold the longest known part of [prefix]. */
-    fun holders(
+    /**
+     * Calls [action] with each server that probably holds a part of [prefix] and the expected number of cached tokens,
+     * from the longest part to the shortest, so that the first call for a server is the one that counts.
+     */
+    fun forEachHolder(
         prefix: List<PrefixBlock>,
-        maximum: Int,
-    ): List<ServerName> {
-        for (index in prefix.indices.reversed()) {
-            val holders = blocks[prefix[index].hash] ?: continue
-            val credible = holders.filter { credit(it) > 0 }
-            if (credible.isNotEmpty()) return credible.takeLast(maximum).map { it.server }
-        }
-        return emptyList()
-    }
-
-    /** Returns the expected number of tokens of [prefix] that [server] has cached. */
-    fun cachedTokens(
-        server: ServerName,
-        prefix: List<PrefixBlock>,
-    ): Int {
+        action: (server: ServerName, tokens: Int) -> Unit,
+    ) {
+        var tokens = prefix.sumOf { it.tokens }
         for (index in prefix.indices.reversed()) {
-            val holder = blocks[prefix[index].hash]?.find { it.server == server } ?: continue
-            val credit = credit(holder)
-            if (credit > 0) return (credit * (0..index).sumOf { prefix[it].tokens }).toInt()
+            val holders = blocks[prefix[index].hash]
+            if (holders != null) {
+                for (position in holders.indices.reversed()) {
+                    val credit = credit(holders[position])
+                    if (credit > 0) action(holders[position].server, (credit * tokens).toInt())
+                }
+            }
+            tokens -= prefix[index].tokens
         }
-        return 0
     }
 
     private fun credit(holder: Holder): Double =
--- a/decision/src/main/kotlin/io/kumquattrail/decision/routing/ServerEstimate.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/routing/ServerEstimate.kt
@@ -25,6 +25,10 @@
     var observedSlowness = 1.0
     var lastChosenAt = MonotonicTime(Long.MIN_VALUE / 2)
 
+    /** Decision in which [cachedTokens] holds, and the prompt tokens that the server probably has cached. */
+    var cachedTokensDecision = -1L
+    var cachedTokens = 0
+
     /** What the last report added to the zone's sums. */
     var capacity = 0.0
     var load = 0.0
--- a/decision/src/main/kotlin/io/kumquattrail/decision/routing/TokenCostRouting.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/routing/TokenCostRouting.kt
@@ -28,6 +28,7 @@
     private var estimates = HashMap<ServerName, ServerEstimate>()
     private var serverHashes = LongArray(0)
     private var candidates = ArrayList<ServerEstimate>()
+    private var decision = 0L
     private var meanWeight = 1.0
     private var meanLoad = 0.0
     private var meanPromptTokens = 0.0
@@ -143,9 +144,15 @@
         now: MonotonicTime,
     ) {
         candidates.clear()
+        decision += 1
         if (request.prefix.isNotEmpty()) {
-            prefixes.holders(request.prefix, settings.holders).forEach { server ->
-                estimates[server]?.let { addIfSuitable(it, request, now) }
+            prefixes.forEachHolder(request.prefix) { server, tokens ->
+                val estimate = estimates[server]
+                if (estimate != null && estimate.cachedTokensDecision != decision) {
+                    estimate.cachedTokensDecision = decision
+                    estimate.cachedTokens = tokens.coerceAtMost(request.promptTokens)
+                    if (candidates.size < settings.holders) addIfSuitable(estimate, request, now)
+                }
             }
             addHomes(request, now)
         }
@@ -235,10 +242,13 @@
     ): Double {
         val memory = memory(server, settings.promptMemory, now)
         val others = meanPromptTokens + (server.otherPromptTokens - meanPromptTokens) * memory
-        val cached = prefixes.cachedTokens(server.state.target.name, request.prefix)
+        val cached = cachedTokens(server)
         return OVERHEAD_TOKENS + server.ownPromptTokens + others + request.promptTokens - cached
     }
 
+    private fun cachedTokens(server: ServerEstimate): Int =
+        if (server.cachedTokensDecision == decision) server.cachedTokens else 0
+
     private fun load(
         server: ServerEstimate,
         now: MonotonicTime,
@@ -270,7 +280,7 @@
         now: MonotonicTime,
     ): RoutingDecision {
         val name = server.state.target.name
-        val cached = prefixes.cachedTokens(name, request.prefix).coerceAtMost(request.promptTokens)
+        val cached = cachedTokens(server)
         val expected = promptTokensUntilFirstToken(server, request, now)
         val chosen = table.assign(server.state, request, cached, now)
         chosen.assignment.expectedPromptTokens = expected
