Make the test of old load reports fail without the fading of reports

With 4 draws the reported idle server was a candidate too rarely for the test to notice. With 40 draws it is always one, and the test fails when reports do not fade.

--- a/decision/src/test/kotlin/io/kumquattrail/decision/routing/TokenCostRoutingSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/routing/TokenCostRoutingSpec.kt
@@ -180,7 +180,7 @@
             it("that was reported long ago does not make all gateways choose the same server") {
                 val first =
                     List(40) { seed ->
-                        val gateway = Gateway(servers, seed = seed)
+                        val gateway = Gateway(servers, TokenCostSettings(draws = 40), seed)
                         servers.drop(1).forEach { gateway.tell(it.name, report(tokens = 20_000)) }
                         gateway.now += 30.seconds
                         checkNotNull(gateway.choose()).server
