Pass on refutations of verdicts only

Cause: after a partition every suspect passed its refutation on, although suspicions are told only to the suspect. Verdicts about processes that stopped then waited behind hundreds of refutations.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/membership/FailureDetector.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/membership/FailureDetector.kt
@@ -111,8 +111,8 @@
             lastContacts[sender] = now
             val known = view.members[sender]
             view.heardFrom(sender, header.incarnation, header.counter, header.zone)?.let { changed(it) }
-            // A process that raised its counter refuted a suspicion that others may still hold.
-            if (known != null && known.state != MemberState.ALIVE && header.counter > known.counter) passOn(sender)
+            // A process that raised its counter refuted a verdict that others may still hold.
+            if (known?.state == MemberState.DEAD && header.counter > known.counter) passOn(sender)
             if (view.state(sender) == MemberState.ALIVE) accusations.remove(sender)
             probe?.let { if (it.target == sender) it.answered = true }
             check?.silent?.remove(sender)
@@ -146,7 +146,8 @@
         val isAccusation = update.state == MemberState.SUSPECTED || update.state == MemberState.DEAD
         if (!isAccusation || (update.incarnation != null && update.counter < counter)) return
         counter = maxOf(counter, update.counter) + 1
-        queue.add(ownUpdate(MemberState.ALIVE))
+        // Only verdicts are passed on to others, so only they need a refutation that is passed on.
+        if (update.state == MemberState.DEAD) queue.add(ownUpdate(MemberState.ALIVE))
         add(MembershipAction.Refuted(counter))
     }
 
