--- a/command/src/main/kotlin/io/kumquattrail/command/Main.kt
+++ b/command/src/main/kotlin/io/kumquattrail/command/Main.kt
@@ -24,4 +24,6 @@
             TimelineCommand(),
             DemoCommand(),
             MeasureCommand(),
+            StandInCommand(),
+            LoadCommand(),
         ).main(arguments)
--- a/protocol/src/main/kotlin/io/kumquattrail/protocol/LoadReportMessages.kt
+++ b/protocol/src/main/kotlin/io/kumquattrail/protocol/LoadReportMessages.kt
@@ -20,6 +20,7 @@
         .setDraining(draining)
         .setIncarnation(incarnation.toString())
         .setRevision(revision)
+        .setPromptTokensWaiting(promptTokensWaiting)
         .build()
 
 /** Converts the message to a report; returns `null` when it names no valid incarnation. */
@@ -38,5 +39,6 @@
         draining = draining,
         incarnation = parsed,
         revision = revision,
+        promptTokensWaiting = promptTokensWaiting,
     )
 }
