--- a/measure/src/main/kotlin/io/kumquattrail/measure/matrix/FaultMatrixPage.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/matrix/FaultMatrixPage.kt
@@ -1,5 +1,14 @@
 package io.kumquattrail.measure.matrix
 
+import io.kumquattrail.measure.MeasurementOptions
+import java.io.File
+
+/** Runs the measurement with the seed in the second argument and writes the page to the path in the first. */
+fun main(arguments: Array<String>) {
+    val (path, seed) = arguments
+    File(path).writeText(FaultMatrixPage.render(FaultMatrixMeasurement.run(MeasurementOptions(seed.toLong()))))
+}
+
 /** Renders the result of a run of [FaultMatrixMeasurement] as the page `docs/fault-matrix.md`. */
 object FaultMatrixPage {
     /** Returns the page in Markdown. */
--- a/measure/src/main/kotlin/io/kumquattrail/measure/matrix/ServingAgent.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/matrix/ServingAgent.kt
@@ -12,7 +12,9 @@
 import io.kumquattrail.decision.delivery.FrameContent
 import io.kumquattrail.decision.identity.Incarnation
 import io.kumquattrail.decision.identity.OrganisationName
+import io.kumquattrail.decision.refusal.RefusalReason
 import io.kumquattrail.decision.suspect.Crash
+import io.kumquattrail.decision.suspect.Treatment
 import io.kumquattrail.decision.time.MonotonicTime
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -82,6 +84,9 @@
         runAlone: Boolean,
     ) {
         world.reached("work_arrived", this)
+        if (world.suspects.treatment(attempt.call.fingerprint, queue.now) is Treatment.Blocked) {
+            return attempt.frame(this, FrameContent.NotRun(RefusalReason.REQUEST_CRASHES_SERVERS))
+        }
         // A duplicate keeps the first copy's entry.
         works.putIfAbsent(attempt.id, Work(attempt, runAlone))
         val cost = TokenCost(COST / 2, COST / 2)
@@ -241,7 +246,7 @@
                 val fingerprints =
                     works.values
                         .filter { it.job != null }
-                        .map { it.attempt.call.id }
+                        .map { it.attempt.call.fingerprint }
                         .toSet()
                 works -= id
                 tell(AdmissionEvent.WorkEnded(id, WorkOutcome.BROKEN))
