--- a/agent/src/main/kotlin/io/kumquattrail/agent/AgentProcess.kt
+++ b/agent/src/main/kotlin/io/kumquattrail/agent/AgentProcess.kt
@@ -185,7 +185,8 @@
     }
 
     private companion object {
-        val TICK_INTERVAL = 100.milliseconds
+        // The admission controller takes an interval above 250 ms for missing ticks.
+        val TICK_INTERVAL = 200.milliseconds
         val DRAIN_POLL = 20.milliseconds
     }
 }
--- a/command/src/main/kotlin/io/kumquattrail/command/AgentCommand.kt
+++ b/command/src/main/kotlin/io/kumquattrail/command/AgentCommand.kt
@@ -8,7 +8,6 @@
 import com.github.michaelbull.result.fold
 import io.kumquattrail.agent.AgentProcess
 import io.kumquattrail.node.settings.AgentSettings
-import io.vertx.core.Vertx
 import java.security.SecureRandom
 import kotlin.random.asKotlinRandom
 
@@ -24,7 +23,7 @@
     }
 
     private fun serve(loaded: AgentSettings) {
-        val agent = AgentProcess(loaded, Vertx.vertx(), random = SecureRandom().asKotlinRandom())
+        val agent = AgentProcess(loaded, Daemon.vertx(), random = SecureRandom().asKotlinRandom())
         Daemon.run(start = { agent.start() }, shutdown = { agent.shutdown() })
     }
 }
--- a/command/src/main/kotlin/io/kumquattrail/command/GatewayCommand.kt
+++ b/command/src/main/kotlin/io/kumquattrail/command/GatewayCommand.kt
@@ -10,7 +10,6 @@
 import io.kumquattrail.gateway.GatewayProcess
 import io.kumquattrail.node.settings.GatewaySettings
 import io.kumquattrail.node.settings.SettingsError
-import io.vertx.core.Vertx
 import java.nio.file.Path
 import java.security.SecureRandom
 import kotlin.random.asKotlinRandom
@@ -27,7 +26,7 @@
     }
 
     private fun serve(loaded: GatewaySettings) {
-        val gateway = GatewayProcess(loaded, Vertx.vertx(), random = SecureRandom().asKotlinRandom())
+        val gateway = GatewayProcess(loaded, Daemon.vertx(), random = SecureRandom().asKotlinRandom())
         Daemon.run(start = { gateway.start() }, shutdown = { gateway.shutdown() })
     }
 }
