Treat a pause of the agent as a sign of a cold server and keep owners' addresses

The spec that expected no cold start after a pause asserted the fault and is replaced by its opposite, which is the stricter bound. Also: a record that moves the address of a key owner is rejected, generations of a removed service reach processes that start later, and an agent works only for its own address.

--- a/agent/src/main/kotlin/io/kumquattrail/agent/AgentProcess.kt
+++ b/agent/src/main/kotlin/io/kumquattrail/agent/AgentProcess.kt
@@ -109,11 +109,13 @@
             limits = KeyTableLimits(keyClockError = settings.keyClockError),
         )
 
-    private fun ownRecord(): BackendServerRecord? = node.records.server(server)
+    // A record with another address describes another agent, which may own the server's keys.
+    private fun ownRecord(): BackendServerRecord? =
+        node.records.server(server)?.takeIf { it.address == node.name.value }
 
     private fun serviceChanged() {
         val records = node.records
-        val record = records.server(server) ?: return
+        val record = ownRecord() ?: return
         val cause =
             when {
                 stopping -> DrainCause.PROCESS_STOPPING
@@ -177,7 +179,7 @@
         override fun missing(): List<String> =
             buildList {
                 if (stopping) add("shutting down")
-                if (ownRecord() == null) add("no record of the backend server $server")
+                if (ownRecord() == null) add("no record of the backend server $server at ${node.name}")
             }
 
         override fun remarks(): List<String> =
@@ -198,4 +200,5 @@
         ColdSign.CONNECTION_RESET -> ColdCause.CONNECTION_RESET
         ColdSign.LATE_FIRST_TOKEN -> ColdCause.LATE_FIRST_TOKEN
         ColdSign.SILENT_SERVER -> ColdCause.SILENT_SERVER
+        ColdSign.AGENT_PAUSED -> ColdCause.AGENT_PAUSED
     }
--- a/decision/src/main/kotlin/io/kumquattrail/decision/admission/AdmissionController.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/admission/AdmissionController.kt
@@ -434,6 +434,9 @@
         lastReadRequest = null
         flights.values.forEach { it.measurable = false }
         lastAnswerAt = null
+        // What the agent measured before is no evidence of the server's state now: the server may have turned cold in the
+        // meantime, and the late first tokens that would show it cannot be told from the agent's own pause.
+        becomeCold(ColdSign.AGENT_PAUSED)
         add(AdmissionAction.ConfirmRecords)
     }
 
--- a/decision/src/main/kotlin/io/kumquattrail/decision/admission/ColdStartLimit.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/admission/ColdStartLimit.kt
@@ -9,6 +9,7 @@
 
     /** No request in flight made progress for long, although many are in flight. */
     SILENT_SERVER,
+    AGENT_PAUSED,
 }
 
 /**
--- a/decision/src/main/kotlin/io/kumquattrail/decision/configuration/ConfigurationState.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/configuration/ConfigurationState.kt
@@ -5,6 +5,8 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.flatMap
 import com.github.michaelbull.result.fold
+import io.kumquattrail.decision.identity.ServerName
+import io.kumquattrail.decision.record.BackendServerRecord
 import io.kumquattrail.decision.record.KeyOwnerGeneration
 import io.kumquattrail.decision.record.PublishedRecord
 import io.kumquattrail.decision.record.RecordSet
@@ -37,6 +39,8 @@
     private val lastValid = HashMap<EntryKey, PublishedEntry>()
     private val rejections = LinkedHashMap<EntryKey, RejectedEntry>()
     private val generations = HashMap<EntryKey, List<KeyOwnerGeneration>>()
+    private val generationSources = HashMap<EntryKey, PublishedEntry>()
+    private val addresses = HashMap<ServerName, String>()
     private val log = ArrayList<PublishedEntry>()
 
     /** Revision of the records in effect; 0 before the first records. */
@@ -101,7 +105,7 @@
                         lastValid.remove(entry.key)
                         rejections.remove(entry.key)
                         rejectedNow.remove(entry.key)
-                        if (record is ServiceRecord) generations[entry.key] = record.keyOwners
+                        remember(record, entry)
                         changed += entry.key
                     },
                     failure = { reason ->
@@ -124,11 +128,29 @@
                 when {
                     decoded != entry.key -> RejectionReason.KeyMismatch(decoded)
                     record is ServiceRecord -> violation(record.keyOwners, generations[entry.key].orEmpty())
+                    record is BackendServerRecord -> ownerMoved(record)
                     else -> null
                 }
             if (reason == null) Ok(record) else Err(reason)
         }
 
+    private fun remember(
+        record: PublishedRecord,
+        entry: PublishedEntry,
+    ) {
+        if (record is BackendServerRecord) addresses[record.name] = record.address
+        if (record !is ServiceRecord) return
+        generations[entry.key] = record.keyOwners
+        if (record.keyOwners.isNotEmpty()) generationSources[entry.key] = entry
+    }
+
+    // An agent at the old address may live on for processes with older records, and both would run the server's keys.
+    private fun ownerMoved(next: BackendServerRecord): RejectionReason? {
+        val address = addresses[next.name] ?: return null
+        val ownsKeys = generations.values.any { published -> published.any { next.name in it.servers } }
+        return RejectionReason.OwnerMoved(address).takeIf { ownsKeys && address != next.address }
+    }
+
     // Generations outlive the removal of their service: a service published again under the same name would otherwise
     // give keys of the past to other owners, which could run them a second time.
     private fun violation(
@@ -142,7 +164,9 @@
                 .find { (first, second) -> second.fromMilliseconds < first.untilMilliseconds }
                 ?.let { (first, second) -> RejectionReason.GenerationsOverlap(first, second) }
 
-    private fun isKept(entry: PublishedEntry): Boolean = newest[entry.key] === entry || lastValid[entry.key] === entry
+    // The record with a removed service's generations is kept for processes that start after the removal.
+    private fun isKept(entry: PublishedEntry): Boolean =
+        newest[entry.key] === entry || lastValid[entry.key] === entry || generationSources[entry.key] === entry
 
     private fun compactLog() {
         if (log.size > 2 * newest.size + LOG_SLACK_ENTRIES) log.retainAll(::isKept)
--- a/decision/src/main/kotlin/io/kumquattrail/decision/configuration/RecordDecoder.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/configuration/RecordDecoder.kt
@@ -35,6 +35,11 @@
         val generation: KeyOwnerGeneration,
     ) : RejectionReason
 
+    /** The record gives another address to a server that owns caller keys at [address]. */
+    data class OwnerMoved(
+        val address: String,
+    ) : RejectionReason
+
     /** The intervals of [first] and [second] overlap, so that a key would have two owners. */
     data class GenerationsOverlap(
         val first: KeyOwnerGeneration,
--- a/decision/src/main/kotlin/io/kumquattrail/decision/timeline/TimelineEvent.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/timeline/TimelineEvent.kt
@@ -315,6 +315,7 @@
     CONNECTION_RESET("connection_reset"),
     LATE_FIRST_TOKEN("late_first_token"),
     SILENT_SERVER("silent_server"),
+    AGENT_PAUSED("agent_paused"),
 }
 
 /** Lists the reasons for which a process or server takes no new work. */
--- a/decision/src/test/kotlin/io/kumquattrail/decision/admission/AdmissionControllerSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/admission/AdmissionControllerSpec.kt
@@ -194,14 +194,14 @@
                 agent.controller.loadReport().cold shouldBe true
             }
 
-            it("is not assumed after a pause of the agent, whose first tokens seem late") {
+            it("is assumed after a pause of the agent, during which the server may have turned cold unnoticed") {
                 val agent = Agent()
                 agent.warmUp()
                 agent.learnFirstToken()
-                val number = agent.offer()
-                agent.now += 5.seconds
-                agent.tell(AdmissionEvent.FirstToken(WorkId("$number", 0)))
                 agent.controller.loadReport().cold shouldBe false
+                agent.now += 5.seconds
+                agent.tell(AdmissionEvent.Tick)
+                agent.controller.loadReport().cold shouldBe true
             }
 
             it("never exceeds its limit under random events, in whatever order they come") {
--- a/decision/src/test/kotlin/io/kumquattrail/decision/configuration/ConfigurationStateSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/configuration/ConfigurationStateSpec.kt
@@ -6,6 +6,7 @@
 import io.kotest.matchers.maps.shouldBeEmpty
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import io.kumquattrail.decision.identity.ServerName
 import io.kumquattrail.decision.identity.ServiceName
 import io.kumquattrail.decision.identity.ZoneName
 import io.kumquattrail.decision.record.RecordKey
@@ -130,6 +131,28 @@
                 state.owners() shouldBe null
             }
 
+            it("of a removed service reach processes that start later, so that these refuse other owners too") {
+                val old = state(delta(0, 1, service(1, "0-10=a")), delta(1, 2, service(2, "removed")))
+                val fresh = state(old.delta(0))
+                fresh.apply(delta(2, 3, service(3, "0-10=b")))
+                fresh.owners() shouldBe null
+            }
+
+            it("keep the address of their servers, as the agent at the old address could run the keys too") {
+                val server = {
+                    revision: Long,
+                    address: String,
+                    ->
+                    entry(revision, address, name = "a", kind = "server")
+                }
+                val state = state(delta(0, 2, service(1, "0-10=a"), server(2, "10.0.0.1:7000")))
+                state.apply(delta(2, 3, server(3, "10.0.0.2:7000")))
+                state.records.server(ServerName("a"))?.address shouldBe "10.0.0.1:7000"
+                state.rejected.values
+                    .single()
+                    .reason shouldBe RejectionReason.OwnerMoved("10.0.0.1:7000")
+            }
+
             it("must not overlap, as a key of both would have two owners") {
                 val state = state(delta(0, 1, service(1, "0-10=a,9-20=b")))
                 state.rejected.values
--- a/decision/src/test/kotlin/io/kumquattrail/decision/configuration/TestRecords.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/configuration/TestRecords.kt
@@ -6,6 +6,7 @@
 import io.kumquattrail.decision.identity.ServerName
 import io.kumquattrail.decision.identity.ServiceName
 import io.kumquattrail.decision.identity.ZoneName
+import io.kumquattrail.decision.record.BackendServerRecord
 import io.kumquattrail.decision.record.KeyOwnerGeneration
 import io.kumquattrail.decision.record.OrganisationRecord
 import io.kumquattrail.decision.record.RecordKey
@@ -17,7 +18,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 
-/** Reads records whose value is `in`, `out`, `removed` or, for services, generations such as `0-10=a`. */
+/** Reads records whose value is `in`, `out`, `removed`, a server's address, or generations such as `0-10=a`. */
 internal val testDecoder =
     RecordDecoder { entry ->
         val text = entry.value.toByteArray().decodeToString()
@@ -28,10 +29,16 @@
             text == "removed" -> Ok(RemovedRecord(RecordKey(kind, entry.name)))
             kind == RecordKind.ZONE -> Ok(ZoneRecord(ZoneName(entry.name), inService = text == "in"))
             kind == RecordKind.ORGANISATION -> Ok(OrganisationRecord(OrganisationName(entry.name)))
+            kind == RecordKind.SERVER -> Ok(server(entry.name, address = text))
             else -> Ok(ServiceRecord(ServiceName(entry.name), ServiceKind.PLAIN, keyOwners = generations(text)))
         }
     }
 
+private fun server(
+    name: String,
+    address: String,
+) = BackendServerRecord(ServerName(name), ServiceName("ledger"), ZoneName("north"), address)
+
 private fun generations(text: String) =
     text
         .split(",")
