--- /dev/null
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/catalogue/BackendServer.kt
@@ -0,0 +1,27 @@
+package io.kumquattrail.decision.catalogue
+
+import io.kumquattrail.decision.identity.ServerName
+import io.kumquattrail.decision.identity.ServiceName
+import io.kumquattrail.decision.identity.ZoneName
+import io.kumquattrail.decision.time.MonotonicTime
+
+/**
+ * A backend server as it registered itself.
+ *
+ * @property host IP address.
+ * @property slots requests that the server works on at once.
+ * @property draining whether the server has said that it is leaving.
+ * @property coldUntil time until which the server says that it is cold, on this process's clock.
+ * @property startedAtMilliseconds start of the server's present run, in Unix milliseconds; `null` when not published.
+ */
+data class BackendServer(
+    val name: ServerName,
+    val service: ServiceName,
+    val host: String,
+    val port: Int,
+    val zone: ZoneName,
+    val slots: Int,
+    val draining: Boolean = false,
+    val coldUntil: MonotonicTime = MonotonicTime(Long.MIN_VALUE),
+    val startedAtMilliseconds: Long? = null,
+)
--- /dev/null
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/placement/EvenPlacement.kt
@@ -0,0 +1,85 @@
+package io.kumquattrail.decision.placement
+
+import io.kumquattrail.decision.catalogue.BackendServer
+import io.kumquattrail.decision.identity.ServerName
+import io.kumquattrail.decision.identity.ZoneName
+import io.kumquattrail.decision.time.MonotonicTime
+
+/**
+ * Weighs what placement considers besides the free slots.
+ *
+ * @property failurePenalty slots' worth of load that a server with only failures counts more.
+ * @property otherZonePenalty slots' worth of load that a server in another zone counts more. It keeps requests in their
+ *   zone between equally loaded servers only.
+ */
+data class EvenPlacementSettings(
+    val failurePenalty: Double = 8.0,
+    val otherZonePenalty: Double = 0.25,
+)
+
+/** Says where a request goes. */
+sealed interface PlacementDecision {
+    /** The request goes to [server], which has [inProgress] requests in progress by what this process knows. */
+    data class Place(
+        val server: BackendServer,
+        val inProgress: Int,
+    ) : PlacementDecision
+
+    /** Servers exist, but none has room now. */
+    data object AllFull : PlacementDecision
+
+    /** No server of the service may be used. */
+    data object NoServer : PlacementDecision
+}
+
+/**
+ * Places a request on the server with the fewest requests in progress for its size.
+ *
+ * Load pattern: steady traffic of long streams over servers that work in lockstep, where the fullest server sets the
+ * pace of all. Counting the requests in progress of all processes keeps the fullest server close to the mean.
+ *
+ * @property ownZone zone of this process.
+ */
+class EvenPlacement(
+    private val loads: LoadTable,
+    private val ownZone: ZoneName,
+    private val settings: EvenPlacementSettings = EvenPlacementSettings(),
+) {
+    /**
+     * Chooses among [servers], of which those in [excluded] have had the request already.
+     *
+     * @param tieBreak a number that differs between requests and processes and decides between equal servers.
+     * @param hasRate tells whether a server may be sent one more request now, by limits other than its slots.
+     */
+    fun choose(
+        servers: List<BackendServer>,
+        excluded: Set<ServerName>,
+        now: MonotonicTime,
+        tieBreak: Int,
+        hasRate: (BackendServer) -> Boolean = { true },
+    ): PlacementDecision {
+        val candidates = servers.filter { it.name !in excluded }.ifEmpty { return PlacementDecision.NoServer }
+        val open =
+            candidates.filter { server ->
+                loads.inProgress(server.name, now) < server.slots &&
+                    !loads.isReportedFull(server.name, now) &&
+                    hasRate(server)
+            }
+        if (open.isEmpty()) return PlacementDecision.AllFull
+        val preferred = open.filterNot { loads.health(it.name).isAvoided(now) }.ifEmpty { open }
+        val start = Math.floorMod(tieBreak, preferred.size)
+        val rotated = preferred.drop(start) + preferred.take(start)
+        val best = rotated.minBy { burden(it, now) }
+        return PlacementDecision.Place(server = best, inProgress = loads.inProgress(best.name, now))
+    }
+
+    private fun burden(
+        server: BackendServer,
+        now: MonotonicTime,
+    ): Double {
+        val inProgress = loads.inProgress(server.name, now)
+        val failures = settings.failurePenalty * loads.health(server.name).failureRate(now)
+        val distance = if (server.zone == ownZone) 0.0 else settings.otherZonePenalty
+        return (inProgress + failures + distance) / server.slots
+    }
+}
--- /dev/null
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/Call.kt
@@ -0,0 +1,81 @@
+package io.kumquattrail.forward.call
+
+import io.kumquattrail.decision.delivery.EventStreamCursor
+import io.kumquattrail.decision.identity.ServerName
+import io.kumquattrail.decision.identity.ServiceName
+import io.kumquattrail.decision.route.Route
+import io.kumquattrail.decision.time.MonotonicTime
+import io.kumquattrail.forward.http.CallerExchange
+import io.kumquattrail.forward.http.HttpReply
+import kotlin.time.Duration
+
+/**
+ * A request that is being forwarded.
+ *
+ * @property version version of the configuration that allowed it.
+ * @property deadline time at which the caller or the route's timeout ends it.
+ */
+class Call(
+    val exchange: CallerExchange,
+    val requestId: String?,
+    val route: Route,
+    val version: Long,
+    val priority: Int,
+    val organisation: String?,
+    val service: ServiceName,
+    val deadline: MonotonicTime,
+    val cursor: EventStreamCursor,
+) {
+    /** Servers that have had the request. */
+    val tried = HashSet<ServerName>()
+
+    /** Number of times that the request was given to a server. */
+    var sendings = 0
+
+    /** Number of sendings that may have run. */
+    var runs = 0
+
+    /** Time for which the request waited for room. */
+    var waited: Duration = Duration.ZERO
+}
+
+/** Says why an attempt failed. [provesNotRun] tells whether the request is known not to have run there. */
+enum class FailureKind(
+    val provesNotRun: Boolean,
+) {
+    /** No connection could be opened. */
+    NOT_SENT(true),
+
+    /** The server refused the request. */
+    NOT_RUN(true),
+
+    /** Another server has the address. */
+    OTHER_SERVER(true),
+
+    /** The server ran the request and failed. */
+    RAN(false),
+
+    /** The server may have run the request. */
+    MAY_HAVE_RUN(false),
+}
+
+/** Says how an attempt ended. */
+sealed interface AttemptOutcome {
+    /** The caller has the server's whole response. */
+    data class Finished(
+        val status: Int,
+    ) : AttemptOutcome
+
+    /**
+     * The caller needs another attempt or a failure.
+     *
+     * @property reply the server's own failure, which the caller gets if there is no other attempt.
+     * @property faultyServer address of another server that caused the failure, as the server named it.
+     */
+    data class Failed(
+        val kind: FailureKind,
+        val reason: String,
+        val reply: HttpReply? = null,
+        val faultyServer: String? = null,
+    ) : AttemptOutcome
+}
--- /dev/null
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -0,0 +1,476 @@
+package io.kumquattrail.forward.call
+
+import io.kumquattrail.decision.catalogue.BackendServer
+import io.kumquattrail.decision.delivery.EventStreamCursor
+import io.kumquattrail.decision.delivery.StreamEvent
+import io.kumquattrail.decision.identity.ServerName
+import io.kumquattrail.decision.placement.PlacementDecision
+import io.kumquattrail.decision.route.AccessDecision
+import io.kumquattrail.decision.route.AccessPolicy
+import io.kumquattrail.decision.route.Route
+import io.kumquattrail.decision.route.RouteKind
+import io.kumquattrail.decision.time.MonotonicTime
+import io.kumquattrail.forward.http.CallerExchange
+import io.kumquattrail.forward.http.CallerRequestHandler
+import io.kumquattrail.forward.http.HttpMessage
+import io.kumquattrail.forward.http.HttpReply
+import io.kumquattrail.forward.http.ResponsePart
+import io.kumquattrail.forward.http.ServerConnectionPool
+import io.kumquattrail.forward.http.endToEnd
+import io.kumquattrail.forward.process.GatewayState
+import io.kumquattrail.forward.process.ProcessClock
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Forwards the requests of callers to backend servers. It is used on the event loop only. */
+class CallForwarder(
+    private val state: GatewayState,
+    private val pool: ServerConnectionPool,
+    private val access: AccessPolicy,
+    private val rooms: RoomFinder,
+    private val headers: ForwardingHeaders,
+    private val metrics: ForwardingMetrics,
+    private val random: Random = Random.Default,
+) : CallerRequestHandler {
+    override suspend fun handle(exchange: CallerExchange) {
+        val request = exchange.request
+        val requestId = request.headers.get(headers.requestId)
+        val configuration =
+            state.configuration ?: return refuse(exchange, requestId, 503, "no_configuration", STARTING_RETRY)
+        val decision =
+            access.decide(
+                configuration = configuration,
+                age = state.confirmedAge(),
+                host = request.headers.get("Host").orEmpty(),
+                path = request.target,
+                key = keyOf(request),
+            )
+        when (decision) {
+            AccessDecision.NoRoute -> {
+                refuse(exchange, requestId, 404, "no_route", null)
+            }
+
+            AccessDecision.UnknownKey -> {
+                refuse(exchange, requestId, 401, "unknown_key", null)
+            }
+
+            is AccessDecision.KeysOutdated -> {
+                refuse(
+                    exchange,
+                    requestId,
+                    503,
+                    "keys_outdated",
+                    OUTDATED_RETRY,
+                    "age_ms" to decision.age.inWholeMilliseconds,
+                )
+            }
+
+            is AccessDecision.Allowed -> {
+                forward(exchange, requestId, decision, configuration.version)
+            }
+        }
+    }
+
+    private suspend fun forward(
+        exchange: CallerExchange,
+        requestId: String?,
+        allowed: AccessDecision.Allowed,
+        version: Long,
+    ) {
+        val route = allowed.route
+        val callerTime =
+            exchange.request.headers
+                .get(headers.remainingTime)
+                ?.toLongOrNull()
+                ?.milliseconds
+        val deadline = exchange.arrived + minOf(route.timeout, callerTime ?: route.timeout)
+        val call =
+            Call(
+                exchange = exchange,
+                requestId = requestId,
+                route = route,
+                version = version,
+                priority = allowed.organisation?.priority ?: route.priority,
+                organisation = allowed.organisation?.name?.value,
+                service = chooseService(route),
+                deadline = deadline,
+                cursor =
+                    EventStreamCursor(
+                        exchange.request.headers
+                            .get(headers.lastEvent)
+                            ?.toLongOrNull(),
+                    ),
+            )
+        val finished =
+            withTimeoutOrNull(deadline - ProcessClock.monotonic()) {
+                attempts(call)
+                true
+            }
+        if (finished == null) timedOut(call)
+    }
+
+    private suspend fun attempts(call: Call) {
+        while (true) {
+            val room = rooms.find(call, random)
+            when (room) {
+                is Room.Refused -> return giveUp(call, room)
+                is Room.At -> Unit
+            }
+            val outcome = attempt(call, room.server)
+            log(call, room.server, outcome)
+            when (outcome) {
+                is AttemptOutcome.Finished -> return
+                is AttemptOutcome.Failed -> if (!mayRetry(call, outcome)) return fail(call, outcome)
+            }
+        }
+    }
+
+    private suspend fun attempt(
+        call: Call,
+        server: BackendServer,
+    ): AttemptOutcome {
+        val now = ProcessClock.monotonic()
+        call.sendings += 1
+        call.tried += server.name
+        rooms.sending(server, call, now)
+        val attempt = ServerAttempt(server = server, pool = pool, headers = headers)
+        try {
+            val started =
+                attempt.start(
+                    message = messageFor(call, server, now),
+                    requestId = call.requestId,
+                    maximumIdle = if (call.route.repeatable) Duration.INFINITE else UNREPEATABLE_IDLE,
+                    patience = patience(call),
+                )
+            return when (started) {
+                is AttemptStart.Answering -> {
+                    deliver(call, server, attempt, started)
+                }
+
+                is AttemptStart.NotSent -> {
+                    AttemptOutcome.Failed(FailureKind.NOT_SENT, started.reason)
+                }
+
+                is AttemptStart.NotRun -> {
+                    val kind = if (started.otherServer) FailureKind.OTHER_SERVER else FailureKind.NOT_RUN
+                    AttemptOutcome.Failed(kind, "status ${started.status}", faultyServer = started.faultyServer)
+                }
+
+                is AttemptStart.Unusable -> {
+                    broken(call, started.reason)
+                }
+
+                AttemptStart.Silent -> {
+                    broken(call, "no response in time")
+                }
+            }.also { rooms.observed(server, it) }
+        } finally {
+            attempt.close()
+            rooms.ended(server, call)
+        }
+    }
+
+    private suspend fun deliver(
+        call: Call,
+        server: BackendServer,
+        attempt: ServerAttempt,
+        response: AttemptStart.Answering,
+    ): AttemptOutcome =
+        when {
+            response.status !in SUCCESS -> deliverFailure(call, attempt, response)
+            call.route.kind == RouteKind.STREAMING -> deliverStream(call, server, attempt, response)
+            else -> deliverWhole(call, attempt, response)
+        }
+
+    private suspend fun deliverWhole(
+        call: Call,
+        attempt: ServerAttempt,
+        response: AttemptStart.Answering,
+    ): AttemptOutcome {
+        var reason = ""
+        val body = attempt.readBody { reason = it } ?: return broken(call, reason)
+        call.exchange.respond(HttpReply(response.status, response.headers.endToEnd(), body))
+        return AttemptOutcome.Finished(response.status)
+    }
+
+    /** A server's own failure is passed on as it is, unless the call may run elsewhere. */
+    private suspend fun deliverFailure(
+        call: Call,
+        attempt: ServerAttempt,
+        response: AttemptStart.Answering,
+    ): AttemptOutcome {
+        val body = attempt.readBody {} ?: return broken(call, "broken failure ${response.status}")
+        val reply = HttpReply(response.status, response.headers.endToEnd(), body)
+        // These statuses promise callers that nothing ran, which this server has not said.
+        if (response.status in UNPROVED_STATUSES) return broken(call, "status ${response.status} without proof")
+        if (response.status < SERVER_ERRORS) {
+            if (call.exchange.isStarted) return broken(call, "status ${response.status} to a resumed stream")
+            call.exchange.respond(reply)
+            return AttemptOutcome.Finished(response.status)
+        }
+        return AttemptOutcome.Failed(FailureKind.RAN, "status ${response.status}", reply = reply)
+    }
+
+    private suspend fun deliverStream(
+        call: Call,
+        server: BackendServer,
+        attempt: ServerAttempt,
+        response: AttemptStart.Answering,
+    ): AttemptOutcome {
+        call.cursor.nextRun()
+        while (true) {
+            when (val part = attempt.next(streamPatience(call))) {
+                is ResponsePart.Body -> {
+                    val fault = passOn(call, response, part.bytes)
+                    if (fault != null) return broken(call, fault)
+                }
+
+                ResponsePart.End -> {
+                    if (call.cursor.hasPartialEvent) return broken(call, "stream ended inside an event")
+                    if (!call.exchange.isStarted) call.exchange.start(response.status, response.headers.endToEnd())
+                    call.exchange.end()
+                    return AttemptOutcome.Finished(response.status)
+                }
+
+                is ResponsePart.Broken -> {
+                    return broken(call, part.reason)
+                }
+
+                is ResponsePart.Head -> {
+                    return broken(call, "second head")
+                }
+
+                null -> {
+                    return broken(call, "no event in time")
+                }
+            }
+        }
+    }
+
+    private fun passOn(
+        call: Call,
+        response: AttemptStart.Answering,
+        bytes: ByteArray,
+    ): String? {
+        call.cursor.accept(bytes).forEach { event ->
+            when (event) {
+                is StreamEvent.Deliver -> {
+                    if (!call.exchange.isStarted) {
+                        call.exchange.start(response.status, response.headers.endToEnd())
+                        firstByte(call)
+                    }
+                    call.exchange.piece(event.bytes)
+                }
+
+                is StreamEvent.Duplicate -> {
+                    Unit
+                }
+
+                is StreamEvent.Gap -> {
+                    return "events ${event.last} to ${event.id} are missing"
+                }
+            }
+        }
+        return null
+    }
+
+    private fun mayRetry(
+        call: Call,
+        failure: AttemptOutcome.Failed,
+    ): Boolean {
+        if (!failure.kind.provesNotRun) {
+            call.runs += 1
+            if (!call.route.repeatable || call.runs >= call.route.maximumAttempts) return false
+        }
+        if (call.sendings >= call.route.maximumAttempts + EXTRA_SENDINGS) return false
+        // A request that was never sent is no second arrival at a server.
+        return failure.kind == FailureKind.NOT_SENT || rooms.mayRepeat(call)
+    }
+
+    private fun fail(
+        call: Call,
+        failure: AttemptOutcome.Failed,
+    ) {
+        val exchange = call.exchange
+        when {
+            exchange.isStarted -> exchange.breakOff()
+            failure.reply != null -> exchange.respond(failure.reply)
+            call.runs == 0 -> refuse(exchange, call.requestId, 503, failure.reason, FAILED_RETRY)
+            else -> refuse(exchange, call.requestId, 502, failure.reason, null)
+        }
+    }
+
+    private fun giveUp(
+        call: Call,
+        refused: Room.Refused,
+    ) {
+        if (call.exchange.isStarted) return call.exchange.breakOff()
+        val status = if (call.runs == 0) 503 else 502
+        refuse(
+            call.exchange,
+            call.requestId,
+            status,
+            refused.reason,
+            refused.retryAfter,
+            "waiting" to refused.waiting,
+            "expected_wait_ms" to refused.expectedWait?.inWholeMilliseconds,
+        )
+    }
+
+    private fun timedOut(call: Call) {
+        if (call.exchange.isComplete) return
+        if (call.exchange.isStarted) {
+            call.exchange.breakOff()
+            state.log.log("request_timed_out", "id" to call.requestId, "started" to true, "runs" to call.sendings)
+            return
+        }
+        // A request that was never sent has not run; any other may have.
+        if (call.sendings == 0) {
+            refuse(call.exchange, call.requestId, 503, "deadline_before_room", FAILED_RETRY)
+        } else {
+            refuse(call.exchange, call.requestId, 504, "deadline", null, "attempts" to call.sendings)
+        }
+    }
+
+    private fun refuse(
+        exchange: CallerExchange,
+        requestId: String?,
+        status: Int,
+        reason: String,
+        retryAfter: Duration?,
+        vararg details: Pair<String, Any?>,
+    ) {
+        val reply = HttpReply(status)
+        if (requestId != null) reply.headers.set(headers.requestId, requestId)
+        if (retryAfter != null && status == 503) {
+            reply.headers.set(
+                "Retry-After",
+                "%.3f".format(
+                    java.util.Locale.ROOT,
+                    retryAfter.inWholeMilliseconds / 1_000.0,
+                ),
+            )
+        }
+        state.log.log(
+            "request_refused",
+            "id" to requestId,
+            "status" to status,
+            "reason" to reason,
+            "configuration" to state.configuration?.version,
+            "retry_after_ms" to retryAfter?.inWholeMilliseconds,
+            "held_ms" to (ProcessClock.monotonic() - exchange.arrived).inWholeMilliseconds,
+            *details,
+        )
+        metrics.requests.labelValues("any", "refused_$status").inc()
+        exchange.respond(reply)
+    }
+
+    private fun log(
+        call: Call,
+        server: BackendServer,
+        outcome: AttemptOutcome,
+    ) {
+        val failed = outcome as? AttemptOutcome.Failed
+        val status = (outcome as? AttemptOutcome.Finished)?.status
+        metrics.attempts.labelValues(failed?.kind?.name ?: "FINISHED").inc()
+        if (status != null) metrics.requests.labelValues(call.route.kind.name, "answered_$status").inc()
+        state.log.log(
+            "request_attempt",
+            "id" to call.requestId,
+            "route" to call.route.name,
+            "configuration" to call.version,
+            "server" to server.name,
+            "attempt" to call.sendings,
+            "waited_ms" to call.waited.inWholeMilliseconds,
+            "total_ms" to (ProcessClock.monotonic() - call.exchange.arrived).inWholeMilliseconds,
+            "events" to call.cursor.delivered.takeIf { it > 0 },
+            "status" to status,
+            "failure" to failed?.kind,
+            "reason" to failed?.reason,
+            "faulty_server" to failed?.faultyServer,
+        )
+    }
+
+    private fun firstByte(call: Call) {
+        val seconds = (ProcessClock.monotonic() - call.exchange.arrived).inWholeMilliseconds / 1_000.0
+        metrics.firstByte.labelValues(call.route.kind.name).observe(seconds)
+    }
+
+    private fun broken(
+        call: Call,
+        reason: String,
+    ): AttemptOutcome = AttemptOutcome.Failed(FailureKind.MAY_HAVE_RUN, reason)
+
+    private fun messageFor(
+        call: Call,
+        server: BackendServer,
+        now: MonotonicTime,
+    ): HttpMessage {
+        val original = call.exchange.request
+        val forwarded = original.headers.endToEnd()
+        forwarded.remove(headers.authorisation)
+        forwarded.remove(headers.organisation)
+        call.organisation?.let { forwarded.set(headers.organisation, it) }
+        forwarded.set(headers.expectedServer, server.name.value)
+        forwarded.set(headers.remainingTime, (call.deadline - now).inWholeMilliseconds.coerceAtLeast(1).toString())
+        if (call.route.kind == RouteKind.STREAMING) {
+            forwarded.set(headers.urgency, call.priority.coerceIn(URGENCIES).toString())
+            call.cursor.lastId?.let { forwarded.set(headers.lastEvent, it.toString()) }
+        }
+        return HttpMessage(original.method, original.target, forwarded, original.body)
+    }
+
+    private fun keyOf(request: HttpMessage): String? {
+        val value = request.headers.get(headers.authorisation) ?: return null
+        val scheme = headers.authorisationScheme
+        if (!value.startsWith("$scheme ", ignoreCase = true)) return null
+        return value.substring(scheme.length + 1).trim()
+    }
+
+    private fun chooseService(route: Route): io.kumquattrail.decision.identity.ServiceName {
+        var rest = random.nextDouble() * route.targets.sumOf { it.weight }
+        return route.targets
+            .firstOrNull { target ->
+                rest -= target.weight
+                rest < 0
+            }?.service ?: route.targets.last().service
+    }
+
+    private fun patience(call: Call): Duration {
+        val left = call.deadline - ProcessClock.monotonic()
+        val another = call.route.repeatable && call.runs + 1 < call.route.maximumAttempts
+        return if (another) minOf(left, call.route.latencyTarget * SILENCE_IN_TARGETS + SILENCE_ALLOWANCE) else left
+    }
+
+    private fun streamPatience(call: Call): Duration = call.deadline - ProcessClock.monotonic()
+
+    private companion object {
+        val SUCCESS = 200..299
+        const val SERVER_ERRORS = 500
+        val UNPROVED_STATUSES = setOf(408, 421, 429, 503)
+        val URGENCIES = 0..9
+
+        /** Sendings of a request beyond those that may run it, for servers that prove that they did not run it. */
+        const val EXTRA_SENDINGS = 2
+
+        /** A kept connection that was idle longer may be closed by the server while an unrepeatable request travels. */
+        val UNREPEATABLE_IDLE = 1.seconds
+
+        /** Silence after which a repeatable request goes to another server: well over the slowest answer in time. */
+        const val SILENCE_IN_TARGETS = 3
+        val SILENCE_ALLOWANCE = 500.milliseconds
+
+        /** Configuration and servers are known within this time after a start. */
+        val STARTING_RETRY = 500.milliseconds
+
+        /** Another process may be in touch with the configuration service, and new connections reach others. */
+        val OUTDATED_RETRY = 300.milliseconds
+
+        /** Time in which a failed server is found and avoided. */
+        val FAILED_RETRY = 400.milliseconds
+    }
+}
--- /dev/null
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/ForwardingMetrics.kt
@@ -0,0 +1,68 @@
+package io.kumquattrail.forward.call
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Gauge
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.io.ByteArrayOutputStream
+
+// Bounds of the latency histograms in seconds, around the latency targets of 0.1 to 0.5 s and the deadlines up to 8 s.
+private val LATENCY_SECONDS = doubleArrayOf(0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0, 1.5, 2.5, 5.0, 8.0)
+
+/** Counts requests and measures their time. */
+class ForwardingMetrics {
+    private val registry = PrometheusRegistry()
+
+    /** Requests that were answered, by route kind and outcome. */
+    val requests: Counter =
+        Counter
+            .builder()
+            .name("kumquattrail_forward_requests_total")
+            .help("Requests by kind and outcome")
+            .labelNames("kind", "outcome")
+            .register(registry)
+
+    /** Attempts at servers, by result. */
+    val attempts: Counter =
+        Counter
+            .builder()
+            .name("kumquattrail_forward_attempts_total")
+            .help("Attempts at backend servers by result")
+            .labelNames("result")
+            .register(registry)
+
+    /** Time from the arrival of a request to the first byte of its response. */
+    val firstByte: Histogram = latency("kumquattrail_forward_first_byte_seconds", "Time to the first byte")
+
+    /** Time that requests wait for room at a server. */
+    val waiting: Histogram = latency("kumquattrail_forward_waiting_seconds", "Time waiting for room at a server")
+
+    /** Age of the configuration in seconds. */
+    val configurationAge: Gauge =
+        Gauge
+            .builder()
+            .name("kumquattrail_forward_configuration_age_seconds")
+            .help("Time since the configuration was confirmed to be the newest")
+            .register(registry)
+
+    /** Returns all values in the Prometheus text format. */
+    fun text(): ByteArray {
+        val output = ByteArrayOutputStream()
+        PrometheusTextFormatWriter.create().write(output, registry.scrape())
+        return output.toByteArray()
+    }
+
+    private fun latency(
+        name: String,
+        help: String,
+    ): Histogram =
+        Histogram
+            .builder()
+            .name(name)
+            .help(help)
+            .labelNames("kind")
+            .classicOnly()
+            .classicUpperBounds(*LATENCY_SECONDS)
+            .register(registry)
+}
--- /dev/null
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/ServerAttempt.kt
@@ -0,0 +1,152 @@
+package io.kumquattrail.forward.call
+
+import io.kumquattrail.decision.catalogue.BackendServer
+import io.kumquattrail.forward.http.HttpHeadersView
+import io.kumquattrail.forward.http.HttpMessage
+import io.kumquattrail.forward.http.NetworkAddress
+import io.kumquattrail.forward.http.ResponsePart
+import io.kumquattrail.forward.http.ServerConnection
+import io.kumquattrail.forward.http.ServerConnectionPool
+import io.netty.handler.codec.http.HttpHeaderNames
+import kotlinx.coroutines.channels.ReceiveChannel
+import kotlinx.coroutines.withTimeoutOrNull
+import java.io.ByteArrayOutputStream
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Says how far an attempt got before the body of the response. */
+sealed interface AttemptStart {
+    /** The server answers with its own response; the body follows. */
+    class Answering(
+        val status: Int,
+        val headers: HttpHeadersView,
+    ) : AttemptStart
+
+    /** The request was not sent. */
+    data class NotSent(
+        val reason: String,
+    ) : AttemptStart
+
+    /**
+     * The server has not run the request and will not run it.
+     *
+     * @property otherServer whether another server has the address.
+     * @property faultyServer address of a server whose failure is the reason, or `null`.
+     */
+    data class NotRun(
+        val status: Int,
+        val otherServer: Boolean,
+        val faultyServer: String?,
+    ) : AttemptStart
+
+    /** The server may have run the request, and its response cannot be used. */
+    data class Unusable(
+        val reason: String,
+    ) : AttemptStart
+
+    /** No response began in time; the server may still run the request. */
+    data object Silent : AttemptStart
+}
+
+private const val MISDIRECTED = 421
+private val SUCCESS = 200..299
+
+/**
+ * One attempt to run a request on one server.
+ *
+ * The attempt owns its connection: [close] ends it at once, and a complete response makes it free for other requests.
+ */
+class ServerAttempt(
+    private val server: BackendServer,
+    private val pool: ServerConnectionPool,
+    private val headers: ForwardingHeaders,
+) {
+    private val address = NetworkAddress(host = server.host, port = server.port)
+    private var connection: ServerConnection? = null
+    private var parts: ReceiveChannel<ResponsePart>? = null
+
+    /** Connects, sends [message] and waits up to [patience] for the head of the response. */
+    suspend fun start(
+        message: HttpMessage,
+        requestId: String?,
+        maximumIdle: Duration,
+        patience: Duration,
+    ): AttemptStart {
+        val opened =
+            pool.acquire(address, connectTimeout = minOf(CONNECT_TIMEOUT, patience), maximumIdle = maximumIdle)
+                ?: return AttemptStart.NotSent("no connection to $address")
+        connection = opened
+        val received = opened.send(message, requestId)
+        parts = received
+        val first = withTimeoutOrNull(patience) { received.receiveCatching().getOrNull() }
+        return when (first) {
+            null -> AttemptStart.Silent
+            is ResponsePart.Head -> classify(first)
+            is ResponsePart.Broken -> AttemptStart.Unusable(first.reason)
+            is ResponsePart.Body, ResponsePart.End -> AttemptStart.Unusable("response without head")
+        }
+    }
+
+    /** Returns the next part of the body, or `null` when none arrives within [patience]. */
+    suspend fun next(patience: Duration): ResponsePart? {
+        val received = parts ?: return ResponsePart.Broken("attempt is closed")
+        return withTimeoutOrNull(patience) {
+            received.receiveCatching().getOrNull() ?: ResponsePart.Broken("connection closed")
+        }
+    }
+
+    /** Reads the complete body, or returns `null` with a reason in [onBroken] when it is broken off. */
+    suspend fun readBody(onBroken: (String) -> Unit): ByteArray? {
+        val body = ByteArrayOutputStream()
+        while (true) {
+            when (val part = next(Duration.INFINITE)) {
+                is ResponsePart.Body -> body.write(part.bytes)
+                ResponsePart.End -> return body.toByteArray()
+                is ResponsePart.Broken -> return null.also { onBroken(part.reason) }
+                is ResponsePart.Head, null -> return null.also { onBroken("second head") }
+            }
+        }
+    }
+
+    /** Ends the attempt. The connection is kept when its response is complete. */
+    fun close() {
+        val used = connection ?: return
+        connection = null
+        pool.release(address, used)
+    }
+
+    private suspend fun classify(head: ResponsePart.Head): AttemptStart {
+        val notRun = head.status == MISDIRECTED || head.headers.contains(headers.notRun)
+        return when {
+            notRun -> {
+                // The short body is read so that the connection can be used again.
+                withTimeoutOrNull(REFUSAL_BODY_TIMEOUT) { readBody(onBroken = {}) }
+                AttemptStart.NotRun(
+                    status = head.status,
+                    otherServer = head.status == MISDIRECTED,
+                    faultyServer = head.headers.get(headers.faultyServer),
+                )
+            }
+
+            head.headers.contains(HttpHeaderNames.CONTENT_ENCODING) -> {
+                AttemptStart.Unusable("encoded body")
+            }
+
+            head.status in SUCCESS && !head.headers.contains(headers.signature) -> {
+                AttemptStart.Unusable("response without signature")
+            }
+
+            else -> {
+                AttemptStart.Answering(status = head.status, headers = head.headers)
+            }
+        }
+    }
+
+    private companion object {
+        /** Longest time to open a connection. Zones are a few milliseconds apart and a lost packet costs seconds. */
+        val CONNECT_TIMEOUT = 400.milliseconds
+
+        /** Time to read the rest of a refusal, which is short and already on its way. */
+        val REFUSAL_BODY_TIMEOUT = 50.milliseconds
+    }
+}
--- /dev/null
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/http/CallerConnection.kt
@@ -0,0 +1,280 @@
+package io.kumquattrail.forward.http
+
+import io.kumquattrail.decision.route.CallerLimits
+import io.kumquattrail.decision.time.MonotonicTime
+import io.kumquattrail.forward.process.ProcessClock
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.DefaultLastHttpContent
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
+import java.io.ByteArrayOutputStream
+import kotlin.time.Duration
+
+/** Handles the complete requests of callers. */
+fun interface CallerRequestHandler {
+    /** Answers [exchange]; the call is cancelled when the caller leaves. */
+    suspend fun handle(exchange: CallerExchange)
+}
+
+/** What the connections of one listener share. It is used on one event loop only. */
+class CallerListenerState(
+    val scope: CoroutineScope,
+    val handler: CallerRequestHandler,
+    val limits: () -> CallerLimits,
+) {
+    /** Open connections. */
+    val connections = LinkedHashSet<CallerConnection>()
+
+    /** Whether responses announce that their connection closes. */
+    var closeAfterResponse = false
+
+    /** Requests that are being answered. */
+    val requestsInProgress: Int get() = connections.count { it.isAnswering }
+}
+
+/** One connection of a caller. Requests are answered one after the other, in the order of arrival. */
+class CallerConnection(
+    private val state: CallerListenerState,
+) : SimpleChannelInboundHandler<HttpObject>() {
+    private lateinit var context: ChannelHandlerContext
+    private val waiting = ArrayDeque<WaitingRequest>()
+    private var reading: HttpRequest? = null
+    private val body = ByteArrayOutputStream()
+    private var answering: Job? = null
+    private var rejected = false
+    private var lastActivity = ProcessClock.monotonic()
+
+    /** Whether a request is being answered. */
+    val isAnswering: Boolean get() = answering != null
+
+    /** Whether no request is being read or answered. */
+    val isIdle: Boolean get() = answering == null && reading == null
+
+    /** Closes the connection if its caller has been silent for longer than the limits allow. */
+    fun closeIfExpired(
+        now: MonotonicTime,
+        limits: CallerLimits,
+    ) {
+        if (!isAnswering && now - lastActivity > limits.idleTimeout) context.close()
+    }
+
+    /** Closes the connection. */
+    fun close() {
+        context.close()
+    }
+
+    override fun handlerAdded(context: ChannelHandlerContext) {
+        this.context = context
+    }
+
+    override fun channelActive(context: ChannelHandlerContext) {
+        state.connections.add(this)
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        state.connections.remove(this)
+        waiting.clear()
+        answering?.cancel()
+    }
+
+    override fun exceptionCaught(
+        context: ChannelHandlerContext,
+        cause: Throwable,
+    ) {
+        // The caller reset the connection; channelInactive follows and cancels what is in progress.
+        context.close()
+    }
+
+    override fun channelRead0(
+        context: ChannelHandlerContext,
+        message: HttpObject,
+    ) {
+        lastActivity = ProcessClock.monotonic()
+        if (rejected) return
+        if (message.decoderResult().isFailure) return reject(HttpResponseStatus.BAD_REQUEST)
+        if (message is HttpRequest) onHead(message)
+        if (message is HttpContent && reading != null) onContent(message)
+    }
+
+    private fun onHead(request: HttpRequest) {
+        val headers = request.headers()
+        // Two lengths in one head let two parsers disagree on where the body ends.
+        val ambiguous =
+            headers.contains(HttpHeaderNames.TRANSFER_ENCODING) && headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+        if (ambiguous) return reject(HttpResponseStatus.BAD_REQUEST)
+        if (HttpUtil.getContentLength(request, 0L) > state.limits().bodyBytes) {
+            return reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+        }
+        if (HttpUtil.is100ContinueExpected(request)) {
+            context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
+        }
+        reading = request
+        body.reset()
+    }
+
+    private fun onContent(content: HttpContent) {
+        val request = reading ?: return
+        val bytes = content.content()
+        if (bytes.isReadable) {
+            if (body.size() + bytes.readableBytes() > state.limits().bodyBytes) {
+                return reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+            }
+            bytes.readBytes(body, bytes.readableBytes())
+        }
+        if (content !is LastHttpContent) return
+        reading = null
+        val complete =
+            HttpMessage(
+                method = request.method().name(),
+                target = request.uri(),
+                headers = request.headers(),
+                body = if (body.size() == 0) EMPTY_BODY else body.toByteArray(),
+            )
+        val next = WaitingRequest(message = complete, keepAlive = HttpUtil.isKeepAlive(request))
+        if (answering == null) answer(next) else waiting.addLast(next)
+    }
+
+    private fun reject(status: HttpResponseStatus) {
+        rejected = true
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER)
+        response
+            .headers()
+            .set(
+                HttpHeaderNames.CONTENT_LENGTH,
+                0,
+            ).set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
+    }
+
+    private fun answer(next: WaitingRequest) {
+        val exchange =
+            CallerExchange(
+                context = context,
+                request = next.message,
+                arrived = next.arrived,
+                keepAlive = next.keepAlive,
+            )
+        val job =
+            state.scope.launch(start = CoroutineStart.LAZY) {
+                state.handler.handle(exchange)
+            }
+        answering = job
+        job.invokeOnCompletion { failure -> finished(exchange, failure) }
+        job.start()
+    }
+
+    private fun finished(
+        exchange: CallerExchange,
+        failure: Throwable?,
+    ) {
+        answering = null
+        lastActivity = ProcessClock.monotonic()
+        if (failure != null || !exchange.isComplete) {
+            context.close()
+            return
+        }
+        waiting.removeFirstOrNull()?.let(::answer)
+    }
+
+    private class WaitingRequest(
+        val message: HttpMessage,
+        val keepAlive: Boolean,
+        val arrived: MonotonicTime = ProcessClock.monotonic(),
+    )
+
+    /** A request and the way to answer it. */
+    inner class CallerExchange(
+        private val context: ChannelHandlerContext,
+        val request: HttpMessage,
+        val arrived: MonotonicTime,
+        private val keepAlive: Boolean,
+    ) {
+        private var started = false
+
+        /** Whether the complete response has been handed to the connection. */
+        var isComplete = false
+            private set
+
+        /** Whether the head of the response has been sent. */
+        val isStarted: Boolean get() = started
+
+        /** Sends a complete response. */
+        fun respond(reply: HttpReply) {
+            started = true
+            val response =
+                DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.valueOf(reply.status),
+                    Unpooled.wrappedBuffer(reply.body),
+                )
+            response.headers().add(reply.headers)
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, reply.body.size)
+            finish(response)
+        }
+
+        /** Sends the head of a response whose body follows in pieces. */
+        fun start(
+            status: Int,
+            headers: HttpHeadersView,
+        ) {
+            started = true
+            val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
+            response.headers().add(headers)
+            HttpUtil.setTransferEncodingChunked(response, true)
+            announceClose(response)
+            context.writeAndFlush(response)
+        }
+
+        /** Sends a piece of the body. */
+        fun piece(bytes: ByteArray) {
+            context.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
+        }
+
+        /** Ends the body as complete. */
+        fun end() = finish(DefaultLastHttpContent())
+
+        /** Breaks the response off, so that it does not look complete. */
+        fun breakOff() {
+            context.close()
+        }
+
+        private var closes = false
+
+        private fun announceClose(response: HttpResponse) {
+            closes = !keepAlive || state.closeAfterResponse
+            if (closes) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        }
+
+        private fun finish(last: HttpObject) {
+            if (last is HttpResponse) announceClose(last)
+            isComplete = true
+            val written: ChannelFuture = context.writeAndFlush(last)
+            if (closes) written.addListener(ChannelFutureListener.CLOSE)
+        }
+    }
+}
+
+/** A request of a caller and the way to answer it. */
+typealias CallerExchange = CallerConnection.CallerExchange
+
+/** Interval at which listeners look for silent callers; small against the limits, which are seconds. */
+val CALLER_EXPIRY_INTERVAL: Duration = Duration.parse("500ms")
--- /dev/null
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnection.kt
@@ -0,0 +1,204 @@
+package io.kumquattrail.forward.http
+
+import io.kumquattrail.decision.time.MonotonicTime
+import io.kumquattrail.forward.process.ProcessClock
+import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.channels.ReceiveChannel
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** A part of a response, in the order in which a connection delivers them. */
+sealed interface ResponsePart {
+    /** Status line and headers. */
+    class Head(
+        val status: Int,
+        val headers: HttpHeadersView,
+    ) : ResponsePart
+
+    /** Bytes of the body. */
+    class Body(
+        val bytes: ByteArray,
+    ) : ResponsePart
+
+    /** The response is complete. */
+    data object End : ResponsePart
+
+    /** The response ended early; nothing follows. */
+    data class Broken(
+        val reason: String,
+    ) : ResponsePart
+}
+
+/** Headers as the HTTP library holds them. */
+typealias HttpHeadersView = io.netty.handler.codec.http.HttpHeaders
+
+// Responses to other requests that one exchange skips. A server sends one extra response for a request at most.
+private const val MAXIMUM_SKIPPED_RESPONSES = 4
+
+/**
+ * A connection to a backend server or to the platform, with at most one request at a time. It is used on its event loop
+ * only.
+ *
+ * A response that carries another request's id belongs to an earlier request and is skipped. Bytes that arrive while no
+ * request waits belong to no request, and the connection is closed.
+ *
+ * @property requestIdHeader header in which a server repeats the id of the request that it answers; `null` when
+ *   responses carry no id.
+ */
+class ServerConnection(
+    private val requestIdHeader: String?,
+) : SimpleChannelInboundHandler<HttpObject>() {
+    private lateinit var context: ChannelHandlerContext
+    private var parts: Channel<ResponsePart>? = null
+    private var expectedId: String? = null
+    private var writeComplete = true
+    private var keepOpen = false
+    private var skipping = false
+    private var skipped = 0
+    private var inBody = false
+
+    /** Number of requests that were sent on this connection. */
+    var requests: Int = 0
+        private set
+
+    /** Time at which the last response was complete. */
+    var idleSince: MonotonicTime = ProcessClock.monotonic()
+        private set
+
+    /** Time for which the server keeps the idle connection open, if it has said so. */
+    var keepAlive: Duration? = null
+        private set
+
+    /** Whether another request may be sent. */
+    val isReusable: Boolean get() = parts == null && keepOpen && writeComplete && context.channel().isActive
+
+    /** Sends [message]; the returned channel delivers the response and ends with [ResponsePart.End] or `Broken`. */
+    fun send(
+        message: HttpMessage,
+        requestId: String?,
+    ): ReceiveChannel<ResponsePart> {
+        check(parts == null) { "a connection serves one request at a time" }
+        val responseParts = Channel<ResponsePart>(Channel.UNLIMITED)
+        parts = responseParts
+        expectedId = requestId
+        keepOpen = false
+        skipped = 0
+        requests += 1
+        writeComplete = false
+        val request =
+            DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                HttpMethod.valueOf(message.method),
+                message.target,
+                Unpooled.wrappedBuffer(message.body),
+            )
+        request.headers().add(message.headers)
+        if (message.body.isNotEmpty() || message.method != "GET") {
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, message.body.size)
+        }
+        context.writeAndFlush(request).addListener { result ->
+            if (result.isSuccess) writeComplete = true else broken("write failed: ${result.cause()?.message}")
+        }
+        return responseParts
+    }
+
+    /** Closes the connection; a response that is still due is broken off. */
+    fun close() {
+        parts = null
+        context.close()
+    }
+
+    override fun handlerAdded(context: ChannelHandlerContext) {
+        this.context = context
+    }
+
+    override fun channelRead0(
+        context: ChannelHandlerContext,
+        message: HttpObject,
+    ) {
+        if (message.decoderResult().isFailure) return broken("response is not HTTP")
+        if (message is HttpResponse) onHead(message)
+        if (message is HttpContent && inBody) onContent(message)
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) = broken("connection closed")
+
+    override fun exceptionCaught(
+        context: ChannelHandlerContext,
+        cause: Throwable,
+    ) = broken("connection failed: ${cause.message}")
+
+    private fun onHead(response: HttpResponse) {
+        val receiver = parts ?: return broken("bytes without a request")
+        if (response.status().code() in INFORMATIONAL) return
+        inBody = true
+        val id = requestIdHeader?.let { response.headers().get(it) }
+        skipping = id != null && expectedId != null && id != expectedId
+        if (skipping) {
+            skipped += 1
+            if (skipped > MAXIMUM_SKIPPED_RESPONSES) broken("too many responses to other requests")
+            return
+        }
+        keepOpen = HttpUtil.isKeepAlive(response) &&
+            (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response))
+        keepAlive = keepAliveOf(response)
+        receiver.trySend(ResponsePart.Head(status = response.status().code(), headers = response.headers()))
+    }
+
+    private fun onContent(content: HttpContent) {
+        val receiver = parts
+        if (receiver != null && !skipping && content.content().isReadable) {
+            receiver.trySend(ResponsePart.Body(ByteBufUtil.getBytes(content.content())))
+        }
+        if (content !is LastHttpContent) return
+        inBody = false
+        if (skipping) {
+            skipping = false
+            return
+        }
+        parts = null
+        idleSince = ProcessClock.monotonic()
+        receiver?.trySend(ResponsePart.End)
+        receiver?.close()
+        if (!keepOpen) context.close()
+    }
+
+    private fun broken(reason: String) {
+        keepOpen = false
+        inBody = false
+        val receiver = parts
+        parts = null
+        receiver?.trySend(ResponsePart.Broken(reason))
+        receiver?.close()
+        context.close()
+    }
+
+    private fun keepAliveOf(response: HttpResponse): Duration? =
+        response
+            .headers()
+            .get(HttpHeaderValues.KEEP_ALIVE)
+            ?.split(',')
+            ?.map { it.trim() }
+            ?.firstOrNull { it.startsWith("timeout=", ignoreCase = true) }
+            ?.substringAfter('=')
+            ?.toIntOrNull()
+            ?.seconds
+
+    private companion object {
+        val INFORMATIONAL = 100..199
+    }
+}
--- /dev/null
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnectionPool.kt
@@ -0,0 +1,148 @@
+package io.kumquattrail.forward.http
+
+import io.kumquattrail.forward.process.ProcessClock
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoop
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpRequestEncoder
+import io.netty.handler.codec.http.HttpResponseDecoder
+import kotlinx.coroutines.suspendCancellableCoroutine
+import java.net.InetSocketAddress
+import kotlin.coroutines.resume
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+// Idle connections are kept for this time when the server does not say how long it keeps them open.
+private val UNSTATED_KEEP_ALIVE = 4.seconds
+
+// A request must reach the server before the server closes the idle connection; this covers the way there.
+private val KEEP_ALIVE_MARGIN = 700.milliseconds
+
+// The connection's own limits for what it decodes, in bytes. Responses have short heads.
+private const val MAXIMUM_LINE_BYTES = 8_192
+private const val MAXIMUM_HEAD_BYTES = 65_536
+private const val MAXIMUM_CHUNK_BYTES = 65_536
+
+/** An address of a backend server or of the platform. */
+data class NetworkAddress(
+    val host: String,
+    val port: Int,
+) {
+    override fun toString(): String = "$host:$port"
+
+    companion object {
+        /** Parses `IP:PORT`; returns `null` for any other text. */
+        fun parse(text: String): NetworkAddress? {
+            val port = text.substringAfterLast(':', missingDelimiterValue = "").toIntOrNull() ?: return null
+            val host = text.substringBeforeLast(':')
+            return if (host.isEmpty() || port !in 1..65_535) null else NetworkAddress(host = host, port = port)
+        }
+    }
+}
+
+/** Opens connections on one event loop and keeps idle ones for further requests. It is used on that loop only. */
+class ServerConnectionPool(
+    private val eventLoop: EventLoop,
+    private val requestIdHeader: String? = null,
+) {
+    private val idle = HashMap<NetworkAddress, ArrayDeque<ServerConnection>>()
+
+    /** Number of connections that were opened. */
+    var opened: Long = 0
+        private set
+
+    /**
+     * Returns a connection to [address], or `null` when none could be opened within [connectTimeout].
+     *
+     * A kept connection is used when it has been idle for less than [maximumIdle] and for less than the server keeps
+     * it open.
+     */
+    suspend fun acquire(
+        address: NetworkAddress,
+        connectTimeout: Duration,
+        maximumIdle: Duration = Duration.INFINITE,
+    ): ServerConnection? = reuse(address, maximumIdle) ?: open(address, connectTimeout)
+
+    /** Keeps [connection] for further requests to [address], or closes it when it cannot be used again. */
+    fun release(
+        address: NetworkAddress,
+        connection: ServerConnection,
+    ) {
+        if (connection.isReusable) {
+            idle.getOrPut(address) { ArrayDeque() }.addLast(connection)
+        } else {
+            connection.close()
+        }
+    }
+
+    /** Closes idle connections that are close to the end of their time or belong to no one in [addresses]. */
+    fun closeExpired(addresses: Set<NetworkAddress>? = null) {
+        idle.entries.removeAll { (address, connections) ->
+            val unknown = addresses != null && address !in addresses
+            connections.removeAll { connection ->
+                (unknown || isExpired(connection)).also { if (it) connection.close() }
+            }
+            connections.isEmpty()
+        }
+    }
+
+    private fun reuse(
+        address: NetworkAddress,
+        maximumIdle: Duration,
+    ): ServerConnection? {
+        val connections = idle[address] ?: return null
+        while (true) {
+            // The connection used last has the most time left and the least chance to be dead.
+            val connection = connections.removeLastOrNull() ?: return null
+            val idleFor = ProcessClock.monotonic() - connection.idleSince
+            if (!connection.isReusable || isExpired(connection)) {
+                connection.close()
+            } else if (idleFor > maximumIdle) {
+                connections.addLast(connection)
+                return null
+            } else {
+                return connection
+            }
+        }
+    }
+
+    private fun isExpired(connection: ServerConnection): Boolean {
+        val keepAlive = connection.keepAlive ?: UNSTATED_KEEP_ALIVE
+        return ProcessClock.monotonic() - connection.idleSince > keepAlive - KEEP_ALIVE_MARGIN
+    }
+
+    private suspend fun open(
+        address: NetworkAddress,
+        connectTimeout: Duration,
+    ): ServerConnection? {
+        val connection = ServerConnection(requestIdHeader)
+        val future =
+            Bootstrap()
+                .group(eventLoop)
+                .channel(NioSocketChannel::class.java)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(
+                    ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                    connectTimeout.inWholeMilliseconds.toInt().coerceAtLeast(1),
+                ).handler(
+                    object : ChannelInitializer<SocketChannel>() {
+                        override fun initChannel(channel: SocketChannel) {
+                            channel.pipeline().addLast(
+                                HttpRequestEncoder(),
+                                HttpResponseDecoder(MAXIMUM_LINE_BYTES, MAXIMUM_HEAD_BYTES, MAXIMUM_CHUNK_BYTES),
+                                connection,
+                            )
+                        }
+                    },
+                ).connect(InetSocketAddress(address.host, address.port))
+        opened += 1
+        return suspendCancellableCoroutine { continuation ->
+            future.addListener { result -> continuation.resume(if (result.isSuccess) connection else null) }
+            continuation.invokeOnCancellation { future.channel().close() }
+        }
+    }
+}
--- /dev/null
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerExchange.kt
@@ -0,0 +1,167 @@
+package io.kumquattrail.forward.peer
+
+import io.kumquattrail.decision.identity.ProcessName
+import io.kumquattrail.decision.route.RoutingConfiguration
+import io.kumquattrail.decision.time.MonotonicTime
+import io.kumquattrail.forward.http.CallResult
+import io.kumquattrail.forward.http.CallerExchange
+import io.kumquattrail.forward.http.HttpCaller
+import io.kumquattrail.forward.http.HttpMessage
+import io.kumquattrail.forward.http.HttpReply
+import io.kumquattrail.forward.http.NetworkAddress
+import io.kumquattrail.forward.process.GatewayState
+import io.kumquattrail.forward.process.ProcessClock
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private const val EXCHANGE_PATH = "/exchange"
+private const val CONFIGURATION_PATH = "/configuration"
+
+/**
+ * Exchanges state with the other gateways: who lives, requests in progress, and the configuration when the service that
+ * publishes it is out of reach.
+ *
+ * @property seeds addresses of gateways to begin with; some may be gone.
+ * @property decodeConfiguration reads a configuration document; returns `null` when it is not valid.
+ */
+class PeerExchange(
+    private val state: GatewayState,
+    private val caller: HttpCaller,
+    private val seeds: List<ProcessName>,
+    private val decodeConfiguration: (ByteArray) -> RoutingConfiguration?,
+    private val random: Random = Random.Default,
+) {
+    private val heard = HashMap<ProcessName, MonotonicTime>()
+    private val hearsay = HashMap<ProcessName, MonotonicTime>()
+
+    /** The document of the configuration in effect, as published; `null` until one is known. */
+    var configurationDocument: ByteArray? = null
+
+    /** Processes that were heard from a moment ago, without this one. */
+    fun alive(now: MonotonicTime): List<ProcessName> = heard.filterValues { now - it < ALIVE_FOR }.keys.toList()
+
+    /** Exchanges state with peers until [scope] ends. */
+    fun start(scope: CoroutineScope) {
+        scope.launch {
+            while (isActive) {
+                partners().forEach { peer -> scope.launch { exchangeWith(peer) } }
+                delay(INTERVAL)
+            }
+        }
+    }
+
+    /** Answers a request of a peer. */
+    fun handle(exchange: CallerExchange) {
+        when (exchange.request.target) {
+            EXCHANGE_PATH -> {
+                val message =
+                    PeerMessage.decode(exchange.request.body) ?: return exchange.respond(HttpReply(BAD_REQUEST))
+                received(message)
+                exchange.respond(HttpReply(OK, body = ownMessage().encode()))
+            }
+
+            CONFIGURATION_PATH -> {
+                val document = configurationDocument
+                exchange.respond(if (document == null) HttpReply(NOT_FOUND) else HttpReply(OK, body = document))
+            }
+
+            else -> {
+                exchange.respond(HttpReply(NOT_FOUND))
+            }
+        }
+    }
+
+    private fun partners(): List<ProcessName> {
+        val now = ProcessClock.monotonic()
+        hearsay.values.removeAll { now - it > HEARSAY_FOR }
+        val known = (alive(now) + seeds + hearsay.keys).toSet() - state.process
+        return known.shuffled(random).take(PARTNERS)
+    }
+
+    private suspend fun exchangeWith(peer: ProcessName) {
+        val address = NetworkAddress.parse(peer.value) ?: return
+        val sentAt = ProcessClock.monotonic()
+        val sentAtWall = ProcessClock.wall()
+        val request = HttpMessage("POST", EXCHANGE_PATH, body = ownMessage().encode())
+        val answer = caller.call(address, request, TIMEOUT) as? CallResult.Answered ?: return
+        val message = PeerMessage.decode(answer.reply.body) ?: return
+        received(message)
+        takeConfiguration(address, message)
+        if (message.configurationVersion == state.configuration?.version && message.confirmedAge.isFinite()) {
+            // The peer stated the age after this request was sent, so the confirmation is no older than this.
+            state.confirmation.confirmed(sentAt - message.confirmedAge, sentAtWall - message.confirmedAge)
+        }
+    }
+
+    private suspend fun takeConfiguration(
+        address: NetworkAddress,
+        message: PeerMessage,
+    ) {
+        if (message.configurationVersion <= (state.configuration?.version ?: 0)) return
+        val answer =
+            caller.call(address, HttpMessage("GET", CONFIGURATION_PATH), DOCUMENT_TIMEOUT) as? CallResult.Answered
+                ?: return
+        val document = answer.reply.body
+        val configuration = decodeConfiguration(document) ?: return
+        configurationDocument = document
+        state.publish(configuration, source = "peer $address")
+    }
+
+    private fun received(message: PeerMessage) {
+        if (message.process == state.process) return
+        val now = ProcessClock.monotonic()
+        if (heard.put(message.process, now)?.let { now - it < ALIVE_FOR } != true) {
+            state.log.log("peer_alive", "peer" to message.process, "known" to heard.size)
+        }
+        if (message.stopping) heard.remove(message.process)
+        message.members.forEach { hearsay[it] = now }
+        state.loads.peerReported(message.process, message.inProgress, now)
+        state.allowance.seen(alive(now).size + 1, now)
+        heard.entries
+            .filter { now - it.value >= ALIVE_FOR }
+            .forEach { (peer, since) ->
+                heard.remove(peer)
+                state.log.log("peer_lost", "peer" to peer, "silent_ms" to (now - since).inWholeMilliseconds)
+            }
+    }
+
+    private fun ownMessage(): PeerMessage =
+        PeerMessage(
+            process = state.process,
+            members = alive(ProcessClock.monotonic()) + state.process,
+            configurationVersion = state.configuration?.version ?: 0,
+            confirmedAge = state.confirmedAge(),
+            inProgress = state.loads.ownInProgress.toMap(),
+            stopping = state.isStopping,
+        )
+
+    private companion object {
+        const val OK = 200
+        const val BAD_REQUEST = 400
+        const val NOT_FOUND = 404
+
+        /** Peers that one round reaches; bounds messages in large fleets. */
+        const val PARTNERS = 6
+
+        /** Time between rounds. Each pair of few processes meets twice a round; a request in progress lasts a second. */
+        val INTERVAL = 400.milliseconds
+
+        /** A peer answers within milliseconds; a cut connection is given up in time for the next round. */
+        val TIMEOUT = 350.milliseconds
+
+        /** A configuration document has up to a megabyte. */
+        val DOCUMENT_TIMEOUT = 1.seconds
+
+        /** Silence after which a peer counts as gone: three missed rounds and a lost packet. */
+        val ALIVE_FOR = 1_500.milliseconds
+
+        /** Time for which processes are called that only others have heard from. */
+        val HEARSAY_FOR: Duration = 5.seconds
+    }
+}
--- /dev/null
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerMessage.kt
@@ -0,0 +1,74 @@
+package io.kumquattrail.forward.peer
+
+import com.fasterxml.jackson.databind.JsonNode
+import com.fasterxml.jackson.databind.json.JsonMapper
+import com.fasterxml.jackson.databind.node.ObjectNode
+import io.kumquattrail.decision.identity.ProcessName
+import io.kumquattrail.decision.identity.ServerName
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * What gateways tell each other.
+ *
+ * @property process address at which peers reach the sender.
+ * @property members processes that the sender knows to live, itself included.
+ * @property configurationVersion version in effect; 0 when the sender has none.
+ * @property confirmedAge time since the sender knew its configuration to be the newest.
+ * @property inProgress the sender's requests in progress at each server.
+ * @property stopping whether the sender is shutting down.
+ */
+data class PeerMessage(
+    val process: ProcessName,
+    val members: List<ProcessName>,
+    val configurationVersion: Long,
+    val confirmedAge: Duration,
+    val inProgress: Map<ServerName, Int>,
+    val stopping: Boolean,
+) {
+    /** Returns the message as it is sent. */
+    fun encode(): ByteArray {
+        val root = MAPPER.createObjectNode()
+        root.put("process", process.value)
+        root.putArray("members").also { array -> members.forEach { array.add(it.value) } }
+        root.put("configuration_version", configurationVersion)
+        if (confirmedAge.isFinite()) root.put("confirmed_age_ms", confirmedAge.inWholeMilliseconds)
+        val loads: ObjectNode = root.putObject("in_progress")
+        inProgress.forEach { (server, count) -> loads.put(server.value, count) }
+        root.put("stopping", stopping)
+        return MAPPER.writeValueAsBytes(root)
+    }
+
+    companion object {
+        private val MAPPER = JsonMapper()
+
+        /** Decodes what [encode] wrote; returns `null` for any other bytes. */
+        fun decode(bytes: ByteArray): PeerMessage? {
+            val root: JsonNode =
+                try {
+                    MAPPER.readTree(bytes) ?: return null
+                } catch (_: com.fasterxml.jackson.core.JacksonException) {
+                    // The caller logs the peer and the size; the bytes themselves are of no use.
+                    return null
+                }
+            val process = root.path("process").takeIf { it.isTextual }?.asText() ?: return null
+            return PeerMessage(
+                process = ProcessName(process),
+                members = root.path("members").map { ProcessName(it.asText()) },
+                configurationVersion = root.path("configuration_version").asLong(0),
+                confirmedAge =
+                    root
+                        .path("confirmed_age_ms")
+                        .takeIf { it.isNumber }
+                        ?.asLong()
+                        ?.milliseconds ?: Duration.INFINITE,
+                inProgress =
+                    root.path("in_progress").properties().associate { (name, count) ->
+                        ServerName(name) to
+                            count.asInt()
+                    },
+                stopping = root.path("stopping").asBoolean(false),
+            )
+        }
+    }
+}
