Keep expert maps in line with the popularity of experts

All ranks wait for the most loaded one in every set of layers. The gateway with the lowest name reads expert counts from some ranks, plans a map from the present one and switches the group with a hold at the first rank, so that no pass begins with two maps.

--- /dev/null
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/MapSwitch.kt
@@ -0,0 +1,307 @@
+package io.kumquattrail.decision.expert.replica
+
+import io.kumquattrail.decision.time.MonotonicTime
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Paces a [MapSwitch].
+ *
+ * @property resendAfter time after which an order without answer is sent again.
+ * @property prepareWithin time within which all ranks must have copied their experts.
+ * @property reportLag time for which reports lag behind; a state that followed an order shows after it.
+ * @property passesAhead passes between the last known one and the one at which ranks switch.
+ * @property holdsAtMost passes that are tried, as the group moves on while the order travels.
+ */
+data class MapSwitchSettings(
+    val resendAfter: Duration = 60.milliseconds,
+    val prepareWithin: Duration = 5.seconds,
+    val reportLag: Duration = 350.milliseconds,
+    val passesAhead: Long = 4,
+    val holdsAtMost: Int = 6,
+)
+
+/** Tells how far a map switch has come. */
+enum class MapSwitchPhase {
+    /** Ranks copy the experts of the new map. */
+    PREPARING,
+
+    /** The group is kept from passing the pass at which ranks switch. */
+    HOLDING,
+
+    /** Ranks are told at which pass to switch. */
+    ARMING,
+
+    /** All ranks will switch; the group is let go. */
+    RELEASING,
+
+    /** Some ranks may be told to switch and others not; the switch is taken back everywhere. */
+    DISARMING,
+
+    /** The switch is taken back everywhere; the group is let go. */
+    RELEASING_UNCHANGED,
+
+    /** All ranks use or will use the new map. */
+    DONE,
+
+    /** Nothing has changed. */
+    ABANDONED,
+
+    /** Another process has taken over the group; it finishes what was begun. */
+    FENCED,
+}
+
+/**
+ * An order that is due.
+ *
+ * @property takesBack whether the order ends a switch that failed. Such orders need a higher fencing number than those
+ *   before, so that a rank refuses an earlier order that was delayed.
+ */
+data class DueOrder(
+    val rank: Int,
+    val order: RankOrder,
+    val takesBack: Boolean,
+)
+
+/**
+ * Switches a group from one expert map to another so that no pass begins with two maps.
+ *
+ * Orders can be lost, and a lost order can be carried out seconds later. The first rank holds the group before the pass
+ * at which ranks switch, and is released only after every rank has confirmed that it will switch, or that it will not.
+ * A switch is taken back with a higher fencing number than it was ordered with, so a rank refuses what is still on its
+ * way. A second process that works on the group uses a higher number, too, and the first is refused from then on.
+ *
+ * @param states what the ranks reported, in the order of their index.
+ */
+class MapSwitch private constructor(
+    states: List<RankState>,
+    private val version: Long,
+    private val map: ReplicaMap?,
+    startedAt: MonotonicTime,
+    private val settings: MapSwitchSettings,
+    firstPhase: MapSwitchPhase,
+    private var pass: Long,
+) {
+    private val ranks = states.map { RankProgress() }
+    private val prepareUntil = startedAt + settings.prepareWithin
+    private var holdsTried = 0
+    private var lastPass = states.maxOf { it.pass }
+
+    /** How far the switch has come. */
+    var phase: MapSwitchPhase = firstPhase
+        private set
+
+    /** Whether nothing remains to be done. */
+    val isOver: Boolean
+        get() = phase in setOf(MapSwitchPhase.DONE, MapSwitchPhase.ABANDONED, MapSwitchPhase.FENCED)
+
+    /** Pass at which ranks switch; 0 before it is chosen. */
+    val switchPass: Long get() = pass
+
+    /** Whether all ranks have accepted to prepare, so that their reports tell the rest. */
+    val awaitsCopies: Boolean get() = phase == MapSwitchPhase.PREPARING && ranks.all { it.accepted }
+
+    /** Whether a rank's report decides on an order whose answer was lost. */
+    val awaitsReport: Boolean get() = ranks.any { it.resolveAfter != null }
+
+    /** Returns the orders to send at [now]. */
+    fun due(now: MonotonicTime): List<DueOrder> {
+        if (phase == MapSwitchPhase.PREPARING && now > prepareUntil) phase = MapSwitchPhase.ABANDONED
+        return when (phase) {
+            MapSwitchPhase.PREPARING -> toAll(now) { RankOrder.Prepare(version, checkNotNull(map)) }
+            MapSwitchPhase.HOLDING -> toFirst(now, RankOrder.Hold(pass))
+            MapSwitchPhase.ARMING -> toAll(now) { RankOrder.Arm(version, pass) }
+            MapSwitchPhase.DISARMING -> toAll(now) { RankOrder.Disarm(version) }
+            MapSwitchPhase.RELEASING, MapSwitchPhase.RELEASING_UNCHANGED -> toFirst(now, RankOrder.Release(pass))
+            MapSwitchPhase.DONE, MapSwitchPhase.ABANDONED, MapSwitchPhase.FENCED -> emptyList()
+        }
+    }
+
+    /** Takes in the answer of [rank] to [order]. */
+    fun answered(
+        rank: Int,
+        order: RankOrder,
+        answer: OrderAnswer,
+        now: MonotonicTime,
+    ) {
+        val progress = ranks[rank]
+        progress.inFlight = false
+        if (isOver || !isCurrent(order) || progress.accepted) return
+        when (answer) {
+            OrderAnswer.ACCEPTED -> progress.accepted = true
+            OrderAnswer.UNKNOWN -> progress.uncertain = true
+            OrderAnswer.FENCED -> phase = MapSwitchPhase.FENCED
+            OrderAnswer.CONFLICT -> conflict(progress, order, now)
+        }
+        advance()
+    }
+
+    /** Takes in what ranks report; [states] may lag behind the orders. */
+    fun reported(
+        states: List<RankState>,
+        now: MonotonicTime,
+    ) {
+        if (isOver) return
+        lastPass = maxOf(lastPass, states.maxOfOrNull { it.pass } ?: 0)
+        states.forEach { state ->
+            val progress = ranks.getOrNull(state.rank) ?: return@forEach
+            progress.report = state
+            resolve(progress, state, now)
+        }
+        if (phase == MapSwitchPhase.PREPARING && ranks.all { it.report?.preparedVersion == version }) {
+            ranks.forEach { it.nextStep() }
+            hold()
+        }
+        advance()
+    }
+
+    private fun hold() {
+        pass = lastPass + settings.passesAhead
+        phase = MapSwitchPhase.HOLDING
+        ranks.first().nextStep()
+    }
+
+    private fun advance() {
+        when (phase) {
+            MapSwitchPhase.HOLDING -> if (ranks.first().accepted) enter(MapSwitchPhase.ARMING)
+            MapSwitchPhase.ARMING -> if (ranks.all { it.accepted }) enter(MapSwitchPhase.RELEASING)
+            MapSwitchPhase.RELEASING -> if (ranks.first().accepted) phase = MapSwitchPhase.DONE
+            MapSwitchPhase.DISARMING -> if (ranks.all { it.accepted }) enter(MapSwitchPhase.RELEASING_UNCHANGED)
+            MapSwitchPhase.RELEASING_UNCHANGED -> if (ranks.first().accepted) phase = MapSwitchPhase.ABANDONED
+            MapSwitchPhase.PREPARING, MapSwitchPhase.DONE, MapSwitchPhase.ABANDONED, MapSwitchPhase.FENCED -> Unit
+        }
+    }
+
+    private fun conflict(
+        progress: RankProgress,
+        order: RankOrder,
+        now: MonotonicTime,
+    ) {
+        if (progress.uncertain) {
+            // The earlier copy may have been carried out; the report shows it after its lag.
+            progress.resolveAfter = progress.resolveAfter ?: (now + settings.reportLag)
+            return
+        }
+        when (order) {
+            is RankOrder.Prepare -> phase = MapSwitchPhase.ABANDONED
+            is RankOrder.Hold -> {
+                lastPass = maxOf(lastPass, order.pass)
+                holdsTried += 1
+                if (holdsTried < settings.holdsAtMost) hold() else phase = MapSwitchPhase.ABANDONED
+            }
+            is RankOrder.Arm -> enter(MapSwitchPhase.DISARMING)
+            // A rank that is not armed has nothing to take back.
+            is RankOrder.Disarm -> progress.accepted = true
+            // Nothing is held, so the group runs.
+            is RankOrder.Release -> progress.accepted = true
+        }
+    }
+
+    private fun resolve(
+        progress: RankProgress,
+        state: RankState,
+        now: MonotonicTime,
+    ) {
+        val after = progress.resolveAfter ?: return
+        if (now < after) return
+        progress.resolveAfter = null
+        progress.uncertain = false
+        progress.sentAt = null
+        when (phase) {
+            MapSwitchPhase.PREPARING -> progress.accepted = state.preparedVersion == version
+            MapSwitchPhase.HOLDING ->
+                if (state.heldPass == pass) progress.accepted = true else hold()
+            MapSwitchPhase.ARMING ->
+                if (state.armedVersion == version) progress.accepted = true else enter(MapSwitchPhase.DISARMING)
+            MapSwitchPhase.DISARMING -> progress.accepted = state.armedVersion != version
+            MapSwitchPhase.RELEASING, MapSwitchPhase.RELEASING_UNCHANGED -> progress.accepted = state.heldPass == null
+            MapSwitchPhase.DONE, MapSwitchPhase.ABANDONED, MapSwitchPhase.FENCED -> Unit
+        }
+    }
+
+    private fun enter(next: MapSwitchPhase) {
+        phase = next
+        ranks.forEach { it.nextStep() }
+    }
+
+    private fun isCurrent(order: RankOrder): Boolean =
+        when (order) {
+            is RankOrder.Prepare -> phase == MapSwitchPhase.PREPARING
+            is RankOrder.Hold -> phase == MapSwitchPhase.HOLDING && order.pass == pass
+            is RankOrder.Arm -> phase == MapSwitchPhase.ARMING
+            is RankOrder.Disarm -> phase == MapSwitchPhase.DISARMING
+            is RankOrder.Release ->
+                phase == MapSwitchPhase.RELEASING || phase == MapSwitchPhase.RELEASING_UNCHANGED
+        }
+
+    private fun toAll(
+        now: MonotonicTime,
+        order: () -> RankOrder,
+    ): List<DueOrder> = ranks.indices.mapNotNull { dueTo(it, now, order) }
+
+    private fun toFirst(
+        now: MonotonicTime,
+        order: RankOrder,
+    ): List<DueOrder> = listOfNotNull(dueTo(rank = 0, now = now) { order })
+
+    private fun dueTo(
+        rank: Int,
+        now: MonotonicTime,
+        order: () -> RankOrder,
+    ): DueOrder? {
+        val progress = ranks[rank]
+        val recently = progress.sentAt?.let { now - it < settings.resendAfter } ?: false
+        if (progress.accepted || progress.inFlight || recently || progress.resolveAfter != null) return null
+        progress.sentAt = now
+        progress.inFlight = true
+        val takesBack = phase == MapSwitchPhase.DISARMING || phase == MapSwitchPhase.RELEASING_UNCHANGED
+        return DueOrder(rank = rank, order = order(), takesBack = takesBack)
+    }
+
+    companion object {
+        /** Begins the switch of a group to [map], which gets [version]. */
+        fun begin(
+            states: List<RankState>,
+            version: Long,
+            map: ReplicaMap,
+            now: MonotonicTime,
+            settings: MapSwitchSettings = MapSwitchSettings(),
+        ): MapSwitch = MapSwitch(states, version, map, now, settings, MapSwitchPhase.PREPARING, pass = 0)
+
+        /**
+         * Ends a switch that another process has left behind, or returns `null` when it left nothing.
+         *
+         * When every rank will switch to the same map, the group is let go; otherwise the switch is taken back first.
+         */
+        fun takeOver(
+            states: List<RankState>,
+            now: MonotonicTime,
+            settings: MapSwitchSettings = MapSwitchSettings(),
+        ): MapSwitch? {
+            val pass = states.firstNotNullOfOrNull { it.heldPass } ?: return null
+            val armed = states.map { it.armedVersion }
+            val version = armed.firstNotNullOfOrNull { it }
+            val complete = version != null && armed.all { it == version }
+            val phase =
+                if (complete || version == null) MapSwitchPhase.RELEASING_UNCHANGED else MapSwitchPhase.DISARMING
+            return MapSwitch(states, version ?: 0, map = null, now, settings, phase, pass)
+        }
+    }
+
+    private class RankProgress {
+        var accepted = false
+        var uncertain = false
+        var inFlight = false
+        var sentAt: MonotonicTime? = null
+        var resolveAfter: MonotonicTime? = null
+        var report: RankState? = null
+
+        fun nextStep() {
+            accepted = false
+            uncertain = false
+            sentAt = null
+            resolveAfter = null
+        }
+    }
+}
--- /dev/null
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
@@ -0,0 +1,311 @@
+package io.kumquattrail.forward.expert
+
+import io.kumquattrail.decision.catalogue.BackendServer
+import io.kumquattrail.decision.expert.replica.ChoiceCounter
+import io.kumquattrail.decision.expert.replica.MapSwitch
+import io.kumquattrail.decision.expert.replica.MapSwitchPhase
+import io.kumquattrail.decision.expert.replica.RankState
+import io.kumquattrail.decision.expert.replica.ReplicaLimits
+import io.kumquattrail.decision.expert.replica.ReplicaMap
+import io.kumquattrail.decision.expert.replica.ReplicaPlanner
+import io.kumquattrail.decision.identity.ProcessName
+import io.kumquattrail.decision.identity.ServiceName
+import io.kumquattrail.decision.route.EngineGroupFigures
+import io.kumquattrail.decision.time.MonotonicTime
+import io.kumquattrail.forward.process.GatewayState
+import io.kumquattrail.forward.process.ProcessClock
+import kotlinx.collections.immutable.toImmutableList
+import kotlinx.collections.immutable.toImmutableSet
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Keeps the expert maps of groups in line with what is popular.
+ *
+ * Of all gateways, the one with the lowest name does it. Two that take themselves for it, for lack of contact, are kept
+ * apart by fencing numbers at the ranks.
+ *
+ * @property peers returns the other gateways that live.
+ */
+class GroupKeeper(
+    private val state: GatewayState,
+    private val control: RankControl,
+    private val peers: () -> List<ProcessName>,
+    private val random: Random = Random.Default,
+) {
+    private val groups = HashMap<ServiceName, GroupView>()
+    private var fence = 0L
+    private var leadsSince: MonotonicTime? = null
+
+    /** Keeps maps until [scope] ends. */
+    fun start(scope: CoroutineScope) {
+        scope.launch {
+            while (true) {
+                delay(INTERVAL)
+                if (leads()) services().forEach { (service, figures) -> keep(service, figures) }
+            }
+        }
+    }
+
+    private fun leads(): Boolean {
+        val now = ProcessClock.monotonic()
+        val first = state.isReady && peers().none { it < state.process }
+        val since = leadsSince
+        if (!first) {
+            if (since != null) state.log.log("maps_handed_over")
+            leadsSince = null
+            groups.clear()
+            return false
+        }
+        if (since == null) {
+            leadsSince = now
+            return false
+        }
+        // A process that has just started may not have heard of the others yet.
+        return now - since > SETTLE
+    }
+
+    private fun services(): List<Pair<ServiceName, EngineGroupFigures>> =
+        state.configuration
+            ?.services
+            .orEmpty()
+            .values
+            .mapNotNull { service -> service.engine?.group?.let { service.name to it } }
+
+    private suspend fun keep(
+        service: ServiceName,
+        figures: EngineGroupFigures,
+    ) {
+        val servers = state.catalogue.servers.filter { it.service == service }
+        if (servers.isEmpty()) return
+        val view = groups.getOrPut(service) { GroupView() }
+        if (view.isStale(servers)) {
+            if (!survey(service, view, servers, figures)) return
+        }
+        val first = view.ranks.first()
+        val report = control.state(first.server) ?: return view.forget()
+        if (report.epoch != view.epoch || !report.isOpen) return view.forget()
+        if (report.heldPass != null) return takeOver(service, view)
+        read(view, figures)
+        improve(service, view, figures)
+    }
+
+    /** Reads which server has which rank and which experts it holds. */
+    private suspend fun survey(
+        service: ServiceName,
+        view: GroupView,
+        servers: List<BackendServer>,
+        figures: EngineGroupFigures,
+    ): Boolean {
+        val states = states(servers)
+        val open = states.filter { it.isOpen }
+        val size = open.firstOrNull()?.size ?: return false
+        val ordered = open.sortedBy { it.rank }
+        if (ordered.map { it.rank } != (0 until size).toList() || ordered.distinctBy { it.epoch }.size != 1) {
+            state.log.log("group_incomplete", "service" to service, "ranks" to open.size, "size" to size)
+            return false
+        }
+        val byName = servers.associateBy { it.name }
+        val members = ordered.mapNotNull { byName[it.server] }
+        val holdings = coroutineScope { members.map { async { control.holdings(it) } }.awaitAll() }.filterNotNull()
+        if (holdings.size != size || holdings.distinctBy { it.mapVersion }.size != 1) return false
+        view.servers = servers.mapTo(HashSet()) { it.name }
+        view.ranks = members.mapIndexed { index, server -> Rank(index, server) }
+        view.epoch = ordered.first().epoch
+        view.map =
+            ReplicaMap(
+                (0 until figures.layerSets)
+                    .map { set -> holdings.map { it.experts[set].toImmutableSet() }.toImmutableList() }
+                    .toImmutableList(),
+            )
+        view.highestVersion = maxOf(holdings.first().mapVersion, ordered.maxOf { it.preparedVersion ?: 0 })
+        state.log.log(
+            "group_surveyed",
+            "service" to service,
+            "ranks" to size,
+            "epoch" to view.epoch,
+            "map" to holdings.first().mapVersion,
+            "pass" to ordered.first().pass,
+        )
+        return true
+    }
+
+    private suspend fun states(servers: List<BackendServer>): List<RankState> =
+        coroutineScope { servers.map { async { control.state(it) } }.awaitAll() }.filterNotNull()
+
+    private suspend fun read(
+        view: GroupView,
+        figures: EngineGroupFigures,
+    ) {
+        val step = maxOf(1, view.ranks.size / SAMPLED_RANKS)
+        val sampled = view.ranks.filterIndexed { index, _ -> index % step == view.round % step }
+        val readings = coroutineScope { sampled.map { async { control.choices(it.server, figures) } }.awaitAll() }
+        val now = ProcessClock.monotonic()
+        readings.filterNotNull().forEach { view.counter.read(it, now) }
+    }
+
+    private suspend fun improve(
+        service: ServiceName,
+        view: GroupView,
+        figures: EngineGroupFigures,
+    ) {
+        val map = view.map ?: return
+        if (view.counter.evidence < LEAST_EVIDENCE) return
+        val popularity = view.counter.popularity() ?: return
+        val planner =
+            ReplicaPlanner(ReplicaLimits(figures.placementsPerRank, newPerRank = figures.sparePlacements))
+        val began = ProcessClock.monotonic()
+        val planned = planner.plan(map, popularity)
+        val before = map.imbalance(popularity)
+        val after = planned.imbalance(popularity)
+        if (before - after < LEAST_GAIN) return
+        state.log.log(
+            "map_planned",
+            "service" to service,
+            "imbalance" to "%.3f".format(java.util.Locale.ROOT, before),
+            "planned" to "%.3f".format(java.util.Locale.ROOT, after),
+            "evidence" to view.counter.evidence.toLong(),
+            "planning_ms" to (ProcessClock.monotonic() - began).inWholeMilliseconds,
+        )
+        change(service, view, planned)
+    }
+
+    private suspend fun change(
+        service: ServiceName,
+        view: GroupView,
+        planned: ReplicaMap,
+    ) {
+        val states = states(view.ranks.map { it.server }).sortedBy { it.rank }
+        if (states.size != view.ranks.size || states.any { it.epoch != view.epoch }) return view.forget()
+        view.highestVersion = maxOf(view.highestVersion, states.maxOf { maxOf(it.mapVersion, it.preparedVersion ?: 0) })
+        // Two processes that begin at once must not give two maps one version.
+        val version = view.highestVersion + 1 + random.nextInt(VERSION_SPREAD)
+        view.highestVersion = version
+        val switch = MapSwitch.begin(states = states, version = version, map = planned, now = ProcessClock.monotonic())
+        run(service, view, switch, version)
+        if (switch.phase == MapSwitchPhase.DONE) view.map = planned else view.forget()
+    }
+
+    private suspend fun takeOver(
+        service: ServiceName,
+        view: GroupView,
+    ) {
+        // Reports lag; what the other process ordered last shows after this time.
+        delay(REPORT_LAG)
+        val states = states(view.ranks.map { it.server }).sortedBy { it.rank }
+        if (states.size != view.ranks.size) return view.forget()
+        val switch = MapSwitch.takeOver(states, ProcessClock.monotonic()) ?: return
+        state.log.log("map_switch_taken_over", "service" to service, "phase" to switch.phase, "pass" to switch.switchPass)
+        run(service, view, switch, version = 0)
+        view.forget()
+    }
+
+    private suspend fun run(
+        service: ServiceName,
+        view: GroupView,
+        switch: MapSwitch,
+        version: Long,
+    ) {
+        val began = ProcessClock.monotonic()
+        fence = maxOf(fence + FENCES_PER_SWITCH, ProcessClock.wall().milliseconds)
+        var phase = switch.phase
+        var armed: Duration? = null
+        coroutineScope {
+            while (!switch.isOver && ProcessClock.monotonic() - began < LONGEST_SWITCH) {
+                switch.due(ProcessClock.monotonic()).forEach { due ->
+                    launch {
+                        val server = view.ranks[due.rank].server
+                        val number = if (due.takesBack) fence + 1 else fence
+                        val answer = control.order(server, due.order, view.epoch, number)
+                        switch.answered(due.rank, due.order, answer, ProcessClock.monotonic())
+                    }
+                }
+                if (switch.phase != phase) {
+                    phase = switch.phase
+                    if (phase == MapSwitchPhase.HOLDING) armed = ProcessClock.monotonic() - began
+                }
+                delay(if (switch.awaitsCopies) COPY_POLL else STEP_POLL)
+                if (switch.phase == MapSwitchPhase.PREPARING && switch.awaitsCopies || switch.awaitsReport) {
+                    switch.reported(states(view.ranks.map { it.server }), ProcessClock.monotonic())
+                }
+            }
+        }
+        state.log.log(
+            "map_switched",
+            "service" to service,
+            "version" to version,
+            "outcome" to switch.phase,
+            "epoch" to view.epoch,
+            "fence" to fence,
+            "pass" to switch.switchPass,
+            "prepared_ms" to armed?.inWholeMilliseconds,
+            "total_ms" to (ProcessClock.monotonic() - began).inWholeMilliseconds,
+        )
+    }
+
+    private class Rank(
+        val index: Int,
+        val server: BackendServer,
+    )
+
+    private class GroupView {
+        var servers: Set<io.kumquattrail.decision.identity.ServerName> = emptySet()
+        var ranks: List<Rank> = emptyList()
+        var epoch = 0L
+        var map: ReplicaMap? = null
+        var highestVersion = 0L
+        var round = 0
+        val counter = ChoiceCounter()
+
+        fun isStale(present: List<BackendServer>): Boolean =
+            map == null || present.any { it.name !in servers } && ranks.isEmpty()
+
+        fun forget() {
+            map = null
+            counter.reset()
+        }
+    }
+
+    private companion object {
+        /** Time between looks at a group; popularity shifts every few seconds. */
+        val INTERVAL = 500.milliseconds
+
+        /** Time for which a process must be the first of all before it acts; peers meet in less. */
+        val SETTLE = 1.5.seconds
+
+        /** Ranks whose counts are read in a round. Counts read from another VM pause the group for a moment. */
+        const val SAMPLED_RANKS = 4
+
+        /** Choices without which an estimate is mostly noise, over a few requests. */
+        const val LEAST_EVIDENCE = 200.0
+
+        /** Least gain in the load of the most loaded rank, in means, that is worth the copies and orders. */
+        const val LEAST_GAIN = 0.12
+
+        /** Fencing numbers of one switch: one to order it and one to take it back. */
+        const val FENCES_PER_SWITCH = 2
+
+        /** Versions of one change are drawn from so many, so that two processes hardly ever draw the same. */
+        const val VERSION_SPREAD = 1_000
+
+        /** Interval between looks at the copying ranks; reports lag by 200 ms and more. */
+        val COPY_POLL = 100.milliseconds
+
+        /** Interval between steps of a switch; a held group waits for it. */
+        val STEP_POLL = 3.milliseconds
+
+        /** Reports of ranks lag by this much at most. */
+        val REPORT_LAG = 350.milliseconds
+
+        /** A switch that takes longer has lost its ranks; the next look finds what it left. */
+        val LONGEST_SWITCH = 15.seconds
+    }
+}
--- a/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
@@ -10,6 +10,8 @@
 import io.kumquattrail.forward.call.ForwardingMetrics
 import io.kumquattrail.forward.call.RoomFinder
 import io.kumquattrail.forward.call.SharedLimits
+import io.kumquattrail.forward.expert.GroupKeeper
+import io.kumquattrail.forward.expert.RankControl
 import io.kumquattrail.forward.http.CallerListenerState
 import io.kumquattrail.forward.http.CallerRequestHandler
 import io.kumquattrail.forward.http.HttpCaller
@@ -102,8 +104,14 @@
     private val callers = listenerState(forwarder)
     private val callerListener = HttpListener(group, callers)
 
-    /** Starts listening and brings the state up to date from [source]. Throws when an address cannot be bound. */
-    fun start(source: StateSource) {
+    /**
+     * Starts listening, brings the state up to date from [source] and keeps expert maps through [control]. Throws when
+     * an address cannot be bound.
+     */
+    fun start(
+        source: StateSource,
+        control: RankControl,
+    ) {
         listen(settings.readinessAddress) { exchange ->
             val ready = exchange.request.target.startsWith(readinessPath) && state.isReady
             exchange.respond(HttpReply(if (ready) OK else UNAVAILABLE))
@@ -120,6 +128,7 @@
         callerListener.bind(settings.callerAddress)
         peers.start(scope)
         source.start(scope)
+        GroupKeeper(state, control, peers = { peers.alive(ProcessClock.monotonic()) }).start(scope)
         scope.launch { housekeeping() }
         log.log("started", "process" to settings.process, "zone" to settings.zone, "callers" to settings.callerAddress)
     }
