Plan maps with few copies and notice shifts by the pace of streams

Now the pauses between events of streams tell of a shift at no price, counts of four ranks are read twice, a rank copies four experts at most, and a rank's lists tell at once when the copy is complete.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/ChoiceCounter.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/ChoiceCounter.kt
@@ -54,6 +54,11 @@
         }
     }
 
+    /** Drops the estimate but keeps the counts read last, so that the next reading shows only what came after them. */
+    fun restart() {
+        weights = weights.map { DoubleArray(it.size) }
+    }
+
     /** Forgets everything, as counts start anew. */
     fun reset() {
         before.clear()
--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/MapSwitch.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/MapSwitch.kt
@@ -146,16 +146,24 @@
         lastPass = maxOf(lastPass, states.maxOfOrNull { it.pass } ?: 0)
         states.forEach { state ->
             val progress = ranks.getOrNull(state.rank) ?: return@forEach
-            progress.report = state
             resolve(progress, state, now)
         }
-        if (phase == MapSwitchPhase.PREPARING && ranks.all { it.report?.preparedVersion == version }) {
-            ranks.forEach { it.nextStep() }
-            hold()
-        }
         advance()
     }
 
+    /** Takes in that [rank] has copied all experts of the new map. */
+    fun copied(rank: Int) {
+        if (phase != MapSwitchPhase.PREPARING) return
+        ranks[rank].copied = true
+        ranks[rank].accepted = true
+        if (!ranks.all { it.copied }) return
+        ranks.forEach { it.nextStep() }
+        hold()
+    }
+
+    /** Ranks that have not been seen to have copied all experts. */
+    val copying: List<Int> get() = ranks.indices.filter { !ranks[it].copied }
+
     private fun hold() {
         pass = lastPass + settings.passesAhead
         phase = MapSwitchPhase.HOLDING
@@ -184,17 +192,29 @@
             return
         }
         when (order) {
-            is RankOrder.Prepare -> phase = MapSwitchPhase.ABANDONED
+            is RankOrder.Prepare -> {
+                phase = MapSwitchPhase.ABANDONED
+            }
+
             is RankOrder.Hold -> {
                 lastPass = maxOf(lastPass, order.pass)
                 holdsTried += 1
                 if (holdsTried < settings.holdsAtMost) hold() else phase = MapSwitchPhase.ABANDONED
             }
-            is RankOrder.Arm -> enter(MapSwitchPhase.DISARMING)
+
+            is RankOrder.Arm -> {
+                enter(MapSwitchPhase.DISARMING)
+            }
+
             // A rank that is not armed has nothing to take back.
-            is RankOrder.Disarm -> progress.accepted = true
+            is RankOrder.Disarm -> {
+                progress.accepted = true
+            }
+
             // Nothing is held, so the group runs.
-            is RankOrder.Release -> progress.accepted = true
+            is RankOrder.Release -> {
+                progress.accepted = true
+            }
         }
     }
 
@@ -209,14 +229,30 @@
         progress.uncertain = false
         progress.sentAt = null
         when (phase) {
-            MapSwitchPhase.PREPARING -> progress.accepted = state.preparedVersion == version
-            MapSwitchPhase.HOLDING ->
+            // Its experts show whether the rank prepares; until then the order is not repeated.
+            MapSwitchPhase.PREPARING -> {
+                progress.accepted = true
+            }
+
+            MapSwitchPhase.HOLDING -> {
                 if (state.heldPass == pass) progress.accepted = true else hold()
-            MapSwitchPhase.ARMING ->
+            }
+
+            MapSwitchPhase.ARMING -> {
                 if (state.armedVersion == version) progress.accepted = true else enter(MapSwitchPhase.DISARMING)
-            MapSwitchPhase.DISARMING -> progress.accepted = state.armedVersion != version
-            MapSwitchPhase.RELEASING, MapSwitchPhase.RELEASING_UNCHANGED -> progress.accepted = state.heldPass == null
-            MapSwitchPhase.DONE, MapSwitchPhase.ABANDONED, MapSwitchPhase.FENCED -> Unit
+            }
+
+            MapSwitchPhase.DISARMING -> {
+                progress.accepted = state.armedVersion != version
+            }
+
+            MapSwitchPhase.RELEASING, MapSwitchPhase.RELEASING_UNCHANGED -> {
+                progress.accepted = state.heldPass == null
+            }
+
+            MapSwitchPhase.DONE, MapSwitchPhase.ABANDONED, MapSwitchPhase.FENCED -> {
+                Unit
+            }
         }
     }
 
@@ -227,12 +263,25 @@
 
     private fun isCurrent(order: RankOrder): Boolean =
         when (order) {
-            is RankOrder.Prepare -> phase == MapSwitchPhase.PREPARING
-            is RankOrder.Hold -> phase == MapSwitchPhase.HOLDING && order.pass == pass
-            is RankOrder.Arm -> phase == MapSwitchPhase.ARMING
-            is RankOrder.Disarm -> phase == MapSwitchPhase.DISARMING
-            is RankOrder.Release ->
+            is RankOrder.Prepare -> {
+                phase == MapSwitchPhase.PREPARING
+            }
+
+            is RankOrder.Hold -> {
+                phase == MapSwitchPhase.HOLDING && order.pass == pass
+            }
+
+            is RankOrder.Arm -> {
+                phase == MapSwitchPhase.ARMING
+            }
+
+            is RankOrder.Disarm -> {
+                phase == MapSwitchPhase.DISARMING
+            }
+
+            is RankOrder.Release -> {
                 phase == MapSwitchPhase.RELEASING || phase == MapSwitchPhase.RELEASING_UNCHANGED
+            }
         }
 
     private fun toAll(
@@ -295,7 +344,7 @@
         var inFlight = false
         var sentAt: MonotonicTime? = null
         var resolveAfter: MonotonicTime? = null
-        var report: RankState? = null
+        var copied = false
 
         fun nextStep() {
             accepted = false
--- /dev/null
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/PaceWatch.kt
@@ -0,0 +1,71 @@
+package io.kumquattrail.decision.expert.replica
+
+import io.kumquattrail.decision.time.MonotonicTime
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.nanoseconds
+
+/**
+ * Notices from the pauses between events of streams that a group has become slower.
+ *
+ * Load pattern: the popularity of experts shifts while requests run. All ranks work in lockstep, so every stream of the
+ * group shows the time of a pass, and a shift shows within a few passes, at no price, before any count is read.
+ *
+ * @property window time whose pauses count as the present pace.
+ * @property slowdown ratio of the present pace to the reference at which the group counts as slower.
+ */
+class PaceWatch(
+    private val window: Duration = 250.milliseconds,
+    private val slowdown: Double = 1.25,
+) {
+    private val pauses = ArrayDeque<Pause>()
+    private var reference: Duration? = null
+    private var settlesAt = MonotonicTime(Long.MIN_VALUE)
+
+    /** Whether the group has written anything since the last restart. */
+    val isObserved: Boolean get() = pauses.isNotEmpty()
+
+    /** Takes in a pause between two events of one stream. */
+    fun observed(
+        pause: Duration,
+        now: MonotonicTime,
+    ) {
+        pauses.addLast(Pause(now, pause))
+        while (pauses.isNotEmpty() && now - pauses.first().at > window) pauses.removeFirst()
+    }
+
+    /** Takes the pace from now on as the reference, after the group has changed or been found in order. */
+    fun restart(now: MonotonicTime) {
+        pauses.clear()
+        reference = null
+        settlesAt = now + window
+    }
+
+    /** Tells whether the group has become slower than the reference. */
+    fun hasSlowed(now: MonotonicTime): Boolean {
+        val present = present(now) ?: return false
+        if (now < settlesAt) return false
+        val known = reference
+        if (known == null || present < known) {
+            reference = present
+            return false
+        }
+        return present > known * slowdown
+    }
+
+    private fun present(now: MonotonicTime): Duration? {
+        while (pauses.isNotEmpty() && now - pauses.first().at > window) pauses.removeFirst()
+        if (pauses.size < LEAST_PAUSES) return null
+        return pauses.map { it.length.inWholeNanoseconds }.sorted()[pauses.size / 2].nanoseconds
+    }
+
+    private class Pause(
+        val at: MonotonicTime,
+        val length: Duration,
+    )
+
+    private companion object {
+        /** Pauses without which a median says little. */
+        const val LEAST_PAUSES = 6
+    }
+}
--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/ReplicaMap.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/ReplicaMap.kt
@@ -15,6 +15,10 @@
     /** Number of ranks. */
     val ranks: Int get() = sets.firstOrNull()?.size ?: 0
 
+    /** Returns the number of experts that each rank has to load to use this map after [before]. */
+    fun copiesAfter(before: ReplicaMap): List<Int> =
+        (0 until ranks).map { rank -> sets.indices.sumOf { set -> (sets[set][rank] - before.sets[set][rank]).size } }
+
     /** Returns the load of the most loaded rank against the mean, averaged over the sets, for [popularity]. */
     fun imbalance(popularity: ExpertPopularity): Double =
         sets.indices.map { set -> SetLoads(popularity.shares[set], sets[set]).let { it.highest / it.mean } }.average()
@@ -34,7 +38,10 @@
     private val shares: DoubleArray,
     ranks: List<Set<Int>>,
 ) {
-    private val replicas = IntArray(shares.size).also { counts -> ranks.forEach { held -> held.forEach { counts[it] += 1 } } }
+    private val replicas =
+        IntArray(shares.size).also { counts ->
+            ranks.forEach { held -> held.forEach { counts[it] += 1 } }
+        }
     private val loads = DoubleArray(ranks.size) { rank -> ranks[rank].sumOf { shares[it] / replicas[it] } }
 
     /** Load of the most loaded rank. */
--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/ReplicaPlanner.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/ReplicaPlanner.kt
@@ -7,13 +7,18 @@
  * Bounds a plan.
  *
  * @property placementsPerRank experts that a rank holds at most, a set.
- * @property newPerRank experts that a rank can load for one change, a set.
+ * @property newPerSet experts that a rank can load for one change, a set.
+ * @property copiesPerRank experts that a rank loads for one change at most, over all sets. A rank copies one after the
+ *   other, so this bounds the time until the change takes effect.
+ * @property leastGainPerCopy reduction of the highest load, in mean loads, that is worth a copy.
  * @property roundsPerSet improvements that are searched for at most, a set; it bounds the time of a plan.
  */
 data class ReplicaLimits(
     val placementsPerRank: Int,
-    val newPerRank: Int,
-    val roundsPerSet: Int = 400,
+    val newPerSet: Int,
+    val copiesPerRank: Int = 4,
+    val leastGainPerCopy: Double = 0.01,
+    val roundsPerSet: Int = 200,
 )
 
 /**
@@ -21,7 +26,8 @@
  *
  * Load pattern: the popularity of experts shifts every few seconds, and all ranks wait for the most loaded one in every
  * set. The plan relieves the most loaded rank of a set step by step: it adds a replica elsewhere, moves an expert away
- * or swaps two, and takes the step that leaves the lowest loads. It ends when no step relieves the most loaded rank.
+ * or swaps two, and takes the step that leaves the lowest loads. It ends when no step is worth its copies. Sets with the
+ * highest load come first, as the copies of a rank are limited.
  */
 class ReplicaPlanner(
     private val limits: ReplicaLimits,
@@ -30,103 +36,111 @@
     fun plan(
         present: ReplicaMap,
         popularity: ExpertPopularity,
-    ): ReplicaMap =
-        ReplicaMap(
-            present.sets
-                .mapIndexed { set, ranks -> SetPlan(ranks, popularity.shares[set], limits).improved() }
-                .toImmutableList(),
-        )
+    ): ReplicaMap {
+        val copiesLeft = IntArray(present.ranks) { limits.copiesPerRank }
+        val order =
+            present.sets.indices.sortedByDescending { SetLoads(popularity.shares[it], present.sets[it]).highest }
+        val planned = present.sets.toMutableList()
+        order.forEach { set ->
+            planned[set] = SetPlan(present.sets[set], popularity.shares[set], limits, copiesLeft).improved()
+        }
+        return ReplicaMap(planned.toImmutableList())
+    }
 }
 
-/** The search for the placement of one set. */
+private const val NONE = -1
+
+/** The search for the placement of one set. It takes the copies that it needs from [copiesLeft]. */
 private class SetPlan(
     present: List<Set<Int>>,
     private val shares: DoubleArray,
     private val limits: ReplicaLimits,
+    private val copiesLeft: IntArray,
 ) {
-    private val before = present.map { it.toSet() }
-    private val held = present.map { it.toMutableSet() }
-    private val holders = Array(shares.size) { expert -> held.indices.filterTo(HashSet()) { expert in held[it] } }
-    private val loads = DoubleArray(held.size)
-
-    init {
-        recompute()
-    }
+    private val ranks = present.size
+    private val before = Array(ranks) { rank -> BooleanArray(shares.size) { it in present[rank] } }
+    private val held = Array(ranks) { before[it].copyOf() }
+    private val heldCount = IntArray(ranks) { present[it].size }
+    private val newCount = IntArray(ranks)
+    private val replicas = IntArray(shares.size) { expert -> held.count { it[expert] } }
+    private val loads = DoubleArray(ranks) { rank -> present[rank].sumOf { shares[it] / replicas[it] } }
+    private val leastGain = limits.leastGainPerCopy * loads.average()
+
+    // The step that is tried, as plain fields, since many thousand are tried for a plan.
+    private var bestCost = 0.0
+    private var best: Step? = null
 
     fun improved() =
         run {
-            repeat(limits.roundsPerSet) { if (!relieveHottest()) return@run }
-        }.let { held.map { it.toImmutableSet() }.toImmutableList() }
+            var rounds = 0
+            while (rounds < limits.roundsPerSet && relieveHottest()) rounds += 1
+            for (rank in 0 until ranks) copiesLeft[rank] -= newCount[rank]
+            held.map { experts -> experts.indices.filter { experts[it] }.toImmutableSet() }.toImmutableList()
+        }
 
     private fun relieveHottest(): Boolean {
-        val hottest = loads.indices.maxBy { loads[it] }
-        var best: Step? = null
-        var bestCost = cost() - SMALLEST_GAIN
-        for (expert in held[hottest].toList()) {
-            for (target in held.indices) {
-                if (target == hottest || expert in held[target]) continue
-                for (step in stepsTo(expert, hottest, target)) {
-                    if (!isAllowed(step)) continue
-                    val cost = costAfter(step)
-                    if (cost < bestCost) {
-                        bestCost = cost
-                        best = step
-                    }
-                }
+        var hottest = 0
+        for (rank in 1 until ranks) if (loads[rank] > loads[hottest]) hottest = rank
+        best = null
+        bestCost = cost()
+        for (expert in shares.indices) {
+            if (!held[hottest][expert]) continue
+            for (target in 0 until ranks) {
+                if (!held[target][expert] && loads[target] < loads[hottest]) tryTarget(hottest, expert, target)
             }
         }
         apply(best ?: return false)
         return true
     }
 
-    /** Steps that bring [expert] from [hottest] to [target]: as a replica or moved, into a free place or for another. */
-    private fun stepsTo(
-        expert: Int,
+    /** Tries to bring [expert] from [hottest] to [target]: as a replica or moved, into a free place or for another. */
+    private fun tryTarget(
         hottest: Int,
+        expert: Int,
         target: Int,
-    ): Sequence<Step> =
-        sequence {
-            if (held[target].size < limits.placementsPerRank) {
-                yield(Step(hottest, target, expert, leaves = false, displaced = null, returned = false))
-                yield(Step(hottest, target, expert, leaves = true, displaced = null, returned = false))
+    ) {
+        if (heldCount[target] < limits.placementsPerRank) {
+            attempt(Step(hottest, target, expert, leaves = false))
+            attempt(Step(hottest, target, expert, leaves = true))
+        }
+        for (displaced in shares.indices) {
+            if (!held[target][displaced]) continue
+            if (replicas[displaced] > 1) {
+                attempt(Step(hottest, target, expert, leaves = false, displaced = displaced))
+                attempt(Step(hottest, target, expert, leaves = true, displaced = displaced))
             }
-            for (displaced in held[target].toList()) {
-                if (holders[displaced].size > 1) {
-                    yield(Step(hottest, target, expert, leaves = false, displaced = displaced, returned = false))
-                    yield(Step(hottest, target, expert, leaves = true, displaced = displaced, returned = false))
-                }
-                if (displaced !in held[hottest]) {
-                    yield(Step(hottest, target, expert, leaves = true, displaced = displaced, returned = true))
-                }
+            if (!held[hottest][displaced]) {
+                attempt(Step(hottest, target, expert, leaves = true, displaced = displaced, returned = true))
             }
         }
-
-    private fun isAllowed(step: Step): Boolean {
-        val addedAtTarget = held[step.target].filter { it != step.displaced } + step.expert
-        if (addedAtTarget.count { it !in before[step.target] } > limits.newPerRank) return false
-        if (!step.returned) return true
-        val addedAtHottest = held[step.hottest].filter { it != step.expert } + listOfNotNull(step.displaced)
-        return addedAtHottest.count { it !in before[step.hottest] } <= limits.newPerRank
     }
 
-    private fun costAfter(step: Step): Double {
+    private fun attempt(step: Step) {
+        val copiesBefore = newCount[step.target] + newCount[step.hottest]
         apply(step)
-        val cost = cost()
+        val copies = newCount[step.target] + newCount[step.hottest] - copiesBefore
+        val cost = cost() + leastGain * maxOf(copies, 0)
+        val allowed = isAllowed(step.target) && isAllowed(step.hottest)
         undo(step)
-        return cost
+        if (allowed && cost < bestCost - SMALLEST_GAIN) {
+            bestCost = cost
+            best = step
+        }
     }
 
+    private fun isAllowed(rank: Int): Boolean = newCount[rank] <= limits.newPerSet && newCount[rank] <= copiesLeft[rank]
+
     private fun apply(step: Step) {
         add(step.target, step.expert)
-        if (step.displaced != null) remove(step.target, step.displaced)
+        if (step.displaced != NONE) remove(step.target, step.displaced)
         if (step.leaves) remove(step.hottest, step.expert)
-        if (step.returned && step.displaced != null) add(step.hottest, step.displaced)
+        if (step.returned) add(step.hottest, step.displaced)
     }
 
     private fun undo(step: Step) {
-        if (step.returned && step.displaced != null) remove(step.hottest, step.displaced)
+        if (step.returned) remove(step.hottest, step.displaced)
         if (step.leaves) add(step.hottest, step.expert)
-        if (step.displaced != null) add(step.target, step.displaced)
+        if (step.displaced != NONE) add(step.target, step.displaced)
         remove(step.target, step.expert)
     }
 
@@ -134,29 +148,26 @@
         rank: Int,
         expert: Int,
     ) {
-        val holding = holders[expert]
-        if (holding.isNotEmpty()) holding.forEach { loads[it] -= shares[expert] / holding.size }
-        holding += rank
-        held[rank] += expert
-        holding.forEach { loads[it] += shares[expert] / holding.size }
+        held[rank][expert] = true
+        heldCount[rank] += 1
+        if (!before[rank][expert]) newCount[rank] += 1
+        replicas[expert] += 1
+        val each = shares[expert] / replicas[expert]
+        val change = if (replicas[expert] > 1) each - shares[expert] / (replicas[expert] - 1) else 0.0
+        for (holder in 0 until ranks) if (held[holder][expert]) loads[holder] += if (holder == rank) each else change
     }
 
     private fun remove(
         rank: Int,
         expert: Int,
     ) {
-        val holding = holders[expert]
-        holding.forEach { loads[it] -= shares[expert] / holding.size }
-        holding -= rank
-        held[rank] -= expert
-        if (holding.isNotEmpty()) holding.forEach { loads[it] += shares[expert] / holding.size }
-    }
-
-    private fun recompute() {
-        loads.fill(0.0)
-        shares.indices.forEach { expert ->
-            holders[expert].forEach { loads[it] += shares[expert] / holders[expert].size }
-        }
+        val each = shares[expert] / replicas[expert]
+        val change = if (replicas[expert] > 1) shares[expert] / (replicas[expert] - 1) - each else 0.0
+        for (holder in 0 until ranks) if (held[holder][expert]) loads[holder] += if (holder == rank) -each else change
+        replicas[expert] -= 1
+        held[rank][expert] = false
+        heldCount[rank] -= 1
+        if (!before[rank][expert]) newCount[rank] -= 1
     }
 
     // The highest load decides; a small part of the squares prefers steps that leave room for further ones.
@@ -170,18 +181,18 @@
         return highest + SQUARES_WEIGHT * squares
     }
 
-    private data class Step(
+    private class Step(
         val hottest: Int,
         val target: Int,
         val expert: Int,
         val leaves: Boolean,
-        val displaced: Int?,
-        val returned: Boolean,
+        val displaced: Int = NONE,
+        val returned: Boolean = false,
     )
 
     private companion object {
-        /** Gain below which a step is not worth a copy; shares of a set sum to 1. */
-        const val SMALLEST_GAIN = 1e-5
-        const val SQUARES_WEIGHT = 0.1
+        /** Rounding errors stay below this; shares of a set sum to 1. */
+        const val SMALLEST_GAIN = 1e-6
+        const val SQUARES_WEIGHT = 0.3
     }
 }
--- a/decision/src/main/kotlin/io/kumquattrail/decision/route/RoutingConfiguration.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/route/RoutingConfiguration.kt
@@ -128,12 +128,14 @@
  * @property experts experts of a set.
  * @property placementsPerRank experts that a rank holds at most, a set.
  * @property sparePlacements experts of a set that a rank can load for one change.
+ * @property copyTime time in which a rank loads one expert.
  */
 data class EngineGroupFigures(
     val layerSets: Int,
     val experts: Int,
     val placementsPerRank: Int,
     val sparePlacements: Int,
+    val copyTime: Duration = Duration.ZERO,
 )
 
 /** An organisation with the rank of its requests, which goes before the rank of a route; `null` when it has none. */
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/Call.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/Call.kt
@@ -35,6 +35,9 @@
     /** Number of sendings that may have run. */
     var runs = 0
 
+    /** Time of the last event of the stream; `null` before the first. */
+    var lastEventAt: MonotonicTime? = null
+
     /** Time for which the request waited for room. */
     var waited: Duration = Duration.ZERO
 }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -3,7 +3,7 @@
 import io.kumquattrail.decision.catalogue.BackendServer
 import io.kumquattrail.decision.delivery.EventStreamCursor
 import io.kumquattrail.decision.delivery.StreamEvent
-import io.kumquattrail.decision.identity.ServerName
+import io.kumquattrail.decision.identity.ServiceName
 import io.kumquattrail.decision.placement.PlacementDecision
 import io.kumquattrail.decision.route.AccessDecision
 import io.kumquattrail.decision.route.AccessPolicy
@@ -34,6 +34,7 @@
     private val rooms: RoomFinder,
     private val headers: ForwardingHeaders,
     private val metrics: ForwardingMetrics,
+    private val onPause: (ServiceName, Duration, MonotonicTime) -> Unit,
     private val random: Random = Random.Default,
 ) : CallerRequestHandler {
     override suspend fun handle(exchange: CallerExchange) {
@@ -264,6 +265,7 @@
                         firstByte(call)
                     }
                     call.exchange.piece(event.bytes)
+                    observePause(call)
                 }
 
                 is StreamEvent.Duplicate -> {
@@ -278,6 +280,12 @@
         return null
     }
 
+    private fun observePause(call: Call) {
+        val now = ProcessClock.monotonic()
+        call.lastEventAt?.let { onPause(call.service, now - it, now) }
+        call.lastEventAt = now
+    }
+
     private fun mayRetry(
         call: Call,
         failure: AttemptOutcome.Failed,
@@ -431,7 +439,7 @@
         return value.substring(scheme.length + 1).trim()
     }
 
-    private fun chooseService(route: Route): io.kumquattrail.decision.identity.ServiceName {
+    private fun chooseService(route: Route): ServiceName {
         var rest = random.nextDouble() * route.targets.sumOf { it.weight }
         return route.targets
             .firstOrNull { target ->
--- a/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
@@ -4,6 +4,7 @@
 import io.kumquattrail.decision.expert.replica.ChoiceCounter
 import io.kumquattrail.decision.expert.replica.MapSwitch
 import io.kumquattrail.decision.expert.replica.MapSwitchPhase
+import io.kumquattrail.decision.expert.replica.PaceWatch
 import io.kumquattrail.decision.expert.replica.RankState
 import io.kumquattrail.decision.expert.replica.ReplicaLimits
 import io.kumquattrail.decision.expert.replica.ReplicaMap
@@ -17,11 +18,14 @@
 import kotlinx.collections.immutable.toImmutableList
 import kotlinx.collections.immutable.toImmutableSet
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import java.util.concurrent.Executors
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -41,6 +45,8 @@
     private val peers: () -> List<ProcessName>,
     private val random: Random = Random.Default,
 ) {
+    private val planning =
+        Executors.newSingleThreadExecutor { Thread(it, "planning").apply { isDaemon = true } }.asCoroutineDispatcher()
     private val groups = HashMap<ServiceName, GroupView>()
     private var fence = 0L
     private var leadsSince: MonotonicTime? = null
@@ -55,6 +61,15 @@
         }
     }
 
+    /** Takes in a pause between two events of a stream of [service]. */
+    fun paused(
+        service: ServiceName,
+        pause: Duration,
+        now: MonotonicTime,
+    ) {
+        groups[service]?.pace?.observed(pause, now)
+    }
+
     private fun leads(): Boolean {
         val now = ProcessClock.monotonic()
         val first = state.isReady && peers().none { it < state.process }
@@ -90,12 +105,23 @@
         if (view.isStale(servers)) {
             if (!survey(service, view, servers, figures)) return
         }
+        val now = ProcessClock.monotonic()
+        val slowed = view.pace.hasSlowed(now)
+        if (!slowed && (now - view.lookedAt < LONGEST_INTERVAL || !view.pace.isObserved)) return
+        view.lookedAt = now
         val first = view.ranks.first()
         val report = control.state(first.server) ?: return view.forget()
         if (report.epoch != view.epoch || !report.isOpen) return view.forget()
         if (report.heldPass != null) return takeOver(service, view)
         read(view, figures)
+        if (slowed) {
+            // The counts until now belong to the time before the shift.
+            view.counter.restart()
+            delay(SAMPLE_TIME)
+            read(view, figures)
+        }
         improve(service, view, figures)
+        view.pace.restart(ProcessClock.monotonic())
     }
 
     /** Reads which server has which rank and which experts it holds. */
@@ -146,7 +172,7 @@
         figures: EngineGroupFigures,
     ) {
         val step = maxOf(1, view.ranks.size / SAMPLED_RANKS)
-        val sampled = view.ranks.filterIndexed { index, _ -> index % step == view.round % step }
+        val sampled = view.ranks.filterIndexed { index, _ -> index % step == 0 }
         val readings = coroutineScope { sampled.map { async { control.choices(it.server, figures) } }.awaitAll() }
         val now = ProcessClock.monotonic()
         readings.filterNotNull().forEach { view.counter.read(it, now) }
@@ -161,9 +187,9 @@
         if (view.counter.evidence < LEAST_EVIDENCE) return
         val popularity = view.counter.popularity() ?: return
         val planner =
-            ReplicaPlanner(ReplicaLimits(figures.placementsPerRank, newPerRank = figures.sparePlacements))
+            ReplicaPlanner(ReplicaLimits(figures.placementsPerRank, newPerSet = figures.sparePlacements))
         val began = ProcessClock.monotonic()
-        val planned = planner.plan(map, popularity)
+        val planned = withContext(planning) { planner.plan(map, popularity) }
         val before = map.imbalance(popularity)
         val after = planned.imbalance(popularity)
         if (before - after < LEAST_GAIN) return
@@ -172,16 +198,18 @@
             "service" to service,
             "imbalance" to "%.3f".format(java.util.Locale.ROOT, before),
             "planned" to "%.3f".format(java.util.Locale.ROOT, after),
+            "copies" to planned.copiesAfter(map).sum(),
             "evidence" to view.counter.evidence.toLong(),
             "planning_ms" to (ProcessClock.monotonic() - began).inWholeMilliseconds,
         )
-        change(service, view, planned)
+        change(service, view, planned, copyTime = figures.copyTime * planned.copiesAfter(map).max())
     }
 
     private suspend fun change(
         service: ServiceName,
         view: GroupView,
         planned: ReplicaMap,
+        copyTime: Duration,
     ) {
         val states = states(view.ranks.map { it.server }).sortedBy { it.rank }
         if (states.size != view.ranks.size || states.any { it.epoch != view.epoch }) return view.forget()
@@ -190,7 +218,7 @@
         val version = view.highestVersion + 1 + random.nextInt(VERSION_SPREAD)
         view.highestVersion = version
         val switch = MapSwitch.begin(states = states, version = version, map = planned, now = ProcessClock.monotonic())
-        run(service, view, switch, version)
+        run(service, view, switch, version, copyTime)
         if (switch.phase == MapSwitchPhase.DONE) view.map = planned else view.forget()
     }
 
@@ -204,7 +232,7 @@
         if (states.size != view.ranks.size) return view.forget()
         val switch = MapSwitch.takeOver(states, ProcessClock.monotonic()) ?: return
         state.log.log("map_switch_taken_over", "service" to service, "phase" to switch.phase, "pass" to switch.switchPass)
-        run(service, view, switch, version = 0)
+        run(service, view, switch, version = 0, copyTime = Duration.ZERO)
         view.forget()
     }
 
@@ -213,11 +241,13 @@
         view: GroupView,
         switch: MapSwitch,
         version: Long,
+        copyTime: Duration,
     ) {
         val began = ProcessClock.monotonic()
         fence = maxOf(fence + FENCES_PER_SWITCH, ProcessClock.wall().milliseconds)
         var phase = switch.phase
         var armed: Duration? = null
+        var waitedForCopies = false
         coroutineScope {
             while (!switch.isOver && ProcessClock.monotonic() - began < LONGEST_SWITCH) {
                 switch.due(ProcessClock.monotonic()).forEach { due ->
@@ -232,9 +262,15 @@
                     phase = switch.phase
                     if (phase == MapSwitchPhase.HOLDING) armed = ProcessClock.monotonic() - began
                 }
-                delay(if (switch.awaitsCopies) COPY_POLL else STEP_POLL)
-                if (switch.phase == MapSwitchPhase.PREPARING && switch.awaitsCopies || switch.awaitsReport) {
+                delay(STEP_POLL)
+                if (switch.awaitsReport) {
                     switch.reported(states(view.ranks.map { it.server }), ProcessClock.monotonic())
+                    delay(REPORT_POLL)
+                }
+                if (switch.awaitsCopies) {
+                    delay(if (waitedForCopies) COPY_POLL else copyTime * COPY_TIME_MARGIN)
+                    waitedForCopies = true
+                    findCopied(view, switch, version)
                 }
             }
         }
@@ -251,6 +287,18 @@
         )
     }
 
+    private suspend fun findCopied(
+        view: GroupView,
+        switch: MapSwitch,
+        version: Long,
+    ) = coroutineScope {
+        switch.copying.forEach { rank ->
+            launch {
+                if (control.holdings(view.ranks[rank].server)?.preparedVersion == version) switch.copied(rank)
+            }
+        }
+    }
+
     private class Rank(
         val index: Int,
         val server: BackendServer,
@@ -262,8 +310,9 @@
         var epoch = 0L
         var map: ReplicaMap? = null
         var highestVersion = 0L
-        var round = 0
+        var lookedAt = MonotonicTime(Long.MIN_VALUE / 2)
         val counter = ChoiceCounter()
+        val pace = PaceWatch()
 
         fun isStale(present: List<BackendServer>): Boolean =
             map == null || present.any { it.name !in servers } && ranks.isEmpty()
@@ -275,8 +324,14 @@
     }
 
     private companion object {
-        /** Time between looks at a group; popularity shifts every few seconds. */
-        val INTERVAL = 500.milliseconds
+        /** Time between looks at the pace of groups; popularity shifts every few seconds. */
+        val INTERVAL = 100.milliseconds
+
+        /** Time after which counts are read without any sign of a shift. */
+        val LONGEST_INTERVAL = 4.seconds
+
+        /** Time over which choices are counted after a shift, some passes long. */
+        val SAMPLE_TIME = 250.milliseconds
 
         /** Time for which a process must be the first of all before it acts; peers meet in less. */
         val SETTLE = 1.5.seconds
@@ -288,7 +343,7 @@
         const val LEAST_EVIDENCE = 200.0
 
         /** Least gain in the load of the most loaded rank, in means, that is worth the copies and orders. */
-        const val LEAST_GAIN = 0.12
+        const val LEAST_GAIN = 0.2
 
         /** Fencing numbers of one switch: one to order it and one to take it back. */
         const val FENCES_PER_SWITCH = 2
@@ -296,8 +351,14 @@
         /** Versions of one change are drawn from so many, so that two processes hardly ever draw the same. */
         const val VERSION_SPREAD = 1_000
 
-        /** Interval between looks at the copying ranks; reports lag by 200 ms and more. */
-        val COPY_POLL = 100.milliseconds
+        /** Interval between looks at the copying ranks, about the time of one more copy. */
+        val COPY_POLL = 60.milliseconds
+
+        /** Copies take a little longer than the link alone needs. */
+        const val COPY_TIME_MARGIN = 1.05
+
+        /** Interval between reports while the answer to an order is in doubt. */
+        val REPORT_POLL = 60.milliseconds
 
         /** Interval between steps of a switch; a held group waits for it. */
         val STEP_POLL = 3.milliseconds
--- a/forward/src/main/kotlin/io/kumquattrail/forward/expert/RankControl.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/expert/RankControl.kt
@@ -10,11 +10,13 @@
 /**
  * The map that a rank uses.
  *
+ * @property preparedVersion version whose experts the rank has copied completely; `null` for none.
  * @property experts experts that the rank holds, by set.
  */
 class RankHoldings(
+    val epoch: Long,
     val mapVersion: Long,
-    val pass: Long,
+    val preparedVersion: Long?,
     val experts: List<Set<Int>>,
 )
 
--- a/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
@@ -100,7 +100,9 @@
             rooms = RoomFinder(state, settings.sharedLimits),
             headers = headers,
             metrics = metrics,
+            onPause = { service, pause, now -> groupKeeper?.paused(service, pause, now) },
         )
+    private var groupKeeper: GroupKeeper? = null
     private val callers = listenerState(forwarder)
     private val callerListener = HttpListener(group, callers)
 
@@ -128,7 +130,9 @@
         callerListener.bind(settings.callerAddress)
         peers.start(scope)
         source.start(scope)
-        GroupKeeper(state, control, peers = { peers.alive(ProcessClock.monotonic()) }).start(scope)
+        val keeper = GroupKeeper(state, control, peers = { peers.alive(ProcessClock.monotonic()) })
+        keeper.start(scope)
+        groupKeeper = keeper
         scope.launch { housekeeping() }
         log.log("started", "process" to settings.process, "zone" to settings.zone, "callers" to settings.callerAddress)
     }
