--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/PaceWatch.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/PaceWatch.kt
@@ -34,15 +34,28 @@
         while (pauses.isNotEmpty() && now - pauses.first().at > window) pauses.removeFirst()
     }
 
-    /** Takes the pace from now on as the reference, after the group has changed or been found in order. */
-    fun restart(now: MonotonicTime) {
+    /**
+     * Begins anew after the group has changed. The best pace so far remains the reference, with some room, so that a
+     * shift during the change is noticed right after it.
+     */
+    fun changed(now: MonotonicTime) {
         pauses.clear()
+        reference = reference?.let { it * REFERENCE_GROWTH }
+        settlesAt = now + window
+    }
+
+    /** Takes the present pace as the reference, as the group was found in order. */
+    fun foundInOrder(now: MonotonicTime) {
         reference = null
+        pauses.clear()
         settlesAt = now + window
     }
 
-    /** Tells whether the group has become slower than the reference. */
-    fun hasSlowed(now: MonotonicTime): Boolean {
+    /** Tells whether the group has become slower than the reference and pauses are longer than [tolerated]. */
+    fun hasSlowed(
+        tolerated: Duration,
+        now: MonotonicTime,
+    ): Boolean {
         val present = present(now) ?: return false
         if (now < settlesAt) return false
         val known = reference
@@ -50,7 +63,7 @@
             reference = present
             return false
         }
-        return present > known * slowdown
+        return present > known * slowdown && present > tolerated
     }
 
     private fun present(now: MonotonicTime): Duration? {
@@ -67,5 +80,8 @@
     private companion object {
         /** Pauses without which a median says little. */
         const val LEAST_PAUSES = 6
+
+        /** Growth of the reference with each change, as the traffic of a later time may be heavier. */
+        const val REFERENCE_GROWTH = 1.05
     }
 }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
@@ -102,12 +102,13 @@
         val servers = state.catalogue.servers.filter { it.service == service }
         if (servers.isEmpty()) return
         val view = groups.getOrPut(service) { GroupView() }
-        if (view.isStale(servers)) {
+        if (view.isStale) {
             if (!survey(service, view, servers, figures)) return
         }
         val now = ProcessClock.monotonic()
-        val slowed = view.pace.hasSlowed(now)
-        if (!slowed && (now - view.lookedAt < LONGEST_INTERVAL || !view.pace.isObserved)) return
+        val slowed = view.pace.hasSlowed(tolerated = toleratedPause(service), now = now)
+        val isDue = now - view.lookedAt >= LONGEST_INTERVAL && view.pace.isObserved
+        if (!slowed && !isDue) return
         view.lookedAt = now
         val first = view.ranks.first()
         val report = control.state(first.server) ?: return view.forget()
@@ -120,10 +121,26 @@
             delay(SAMPLE_TIME)
             read(view, figures)
         }
-        improve(service, view, figures)
-        view.pace.restart(ProcessClock.monotonic())
+        val hasChanged = improve(service, view, figures)
+        if (hasChanged) {
+            view.pace.changed(
+                ProcessClock.monotonic(),
+            )
+        } else {
+            view.pace.foundInOrder(ProcessClock.monotonic())
+        }
     }
 
+    /** A group that is well ahead of what its callers need is left alone, as counts, copies and orders have a price. */
+    private fun toleratedPause(service: ServiceName): Duration =
+        state.configuration
+            ?.routes
+            .orEmpty()
+            .filter { route -> route.targets.any { it.service == service } }
+            .mapNotNull { it.gapTarget }
+            .minOrNull()
+            ?.let { it * TOLERATED_SHARE } ?: Duration.ZERO
+
     /** Reads which server has which rank and which experts it holds. */
     private suspend fun survey(
         service: ServiceName,
@@ -143,7 +160,6 @@
         val members = ordered.mapNotNull { byName[it.server] }
         val holdings = coroutineScope { members.map { async { control.holdings(it) } }.awaitAll() }.filterNotNull()
         if (holdings.size != size || holdings.distinctBy { it.mapVersion }.size != 1) return false
-        view.servers = servers.mapTo(HashSet()) { it.name }
         view.ranks = members.mapIndexed { index, server -> Rank(index, server) }
         view.epoch = ordered.first().epoch
         view.map =
@@ -178,21 +194,22 @@
         readings.filterNotNull().forEach { view.counter.read(it, now) }
     }
 
+    /** Plans and makes a change that is worth it; tells whether there was one. */
     private suspend fun improve(
         service: ServiceName,
         view: GroupView,
         figures: EngineGroupFigures,
-    ) {
-        val map = view.map ?: return
-        if (view.counter.evidence < LEAST_EVIDENCE) return
-        val popularity = view.counter.popularity() ?: return
+    ): Boolean {
+        val map = view.map ?: return false
+        if (view.counter.evidence < LEAST_EVIDENCE) return false
+        val popularity = view.counter.popularity() ?: return false
         val planner =
             ReplicaPlanner(ReplicaLimits(figures.placementsPerRank, newPerSet = figures.sparePlacements))
         val began = ProcessClock.monotonic()
         val planned = withContext(planning) { planner.plan(map, popularity) }
         val before = map.imbalance(popularity)
         val after = planned.imbalance(popularity)
-        if (before - after < LEAST_GAIN) return
+        if (before - after < LEAST_GAIN) return false
         state.log.log(
             "map_planned",
             "service" to service,
@@ -203,6 +220,7 @@
             "planning_ms" to (ProcessClock.monotonic() - began).inWholeMilliseconds,
         )
         change(service, view, planned, copyTime = figures.copyTime * planned.copiesAfter(map).max())
+        return true
     }
 
     private suspend fun change(
@@ -231,7 +249,12 @@
         val states = states(view.ranks.map { it.server }).sortedBy { it.rank }
         if (states.size != view.ranks.size) return view.forget()
         val switch = MapSwitch.takeOver(states, ProcessClock.monotonic()) ?: return
-        state.log.log("map_switch_taken_over", "service" to service, "phase" to switch.phase, "pass" to switch.switchPass)
+        state.log.log(
+            "map_switch_taken_over",
+            "service" to service,
+            "phase" to switch.phase,
+            "pass" to switch.switchPass,
+        )
         run(service, view, switch, version = 0, copyTime = Duration.ZERO)
         view.forget()
     }
@@ -305,7 +328,6 @@
     )
 
     private class GroupView {
-        var servers: Set<io.kumquattrail.decision.identity.ServerName> = emptySet()
         var ranks: List<Rank> = emptyList()
         var epoch = 0L
         var map: ReplicaMap? = null
@@ -314,8 +336,8 @@
         val counter = ChoiceCounter()
         val pace = PaceWatch()
 
-        fun isStale(present: List<BackendServer>): Boolean =
-            map == null || present.any { it.name !in servers } && ranks.isEmpty()
+        val isStale: Boolean get() =
+            map == null
 
         fun forget() {
             map = null
@@ -339,6 +361,9 @@
         /** Ranks whose counts are read in a round. Counts read from another VM pause the group for a moment. */
         const val SAMPLED_RANKS = 4
 
+        /** Share of the longest pause on time up to which a group is left alone; the rest is for prompts and bursts. */
+        const val TOLERATED_SHARE = 0.5
+
         /** Choices without which an estimate is mostly noise, over a few requests. */
         const val LEAST_EVIDENCE = 200.0
 
