--- a/decision/src/main/kotlin/io/kumquattrail/decision/placement/EvenPlacement.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/placement/EvenPlacement.kt
@@ -14,7 +14,7 @@
  */
 data class EvenPlacementSettings(
     val failurePenalty: Double = 8.0,
-    val otherZonePenalty: Double = 0.25,
+    val otherZonePenalty: Double = 0.0,
 )
 
 /** Says where a request goes. */
--- /dev/null
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/expert/replica/MapSwitchSpec.kt
@@ -0,0 +1,249 @@
+package io.kumquattrail.decision.expert.replica
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.comparables.shouldBeGreaterThan
+import io.kotest.matchers.shouldBe
+import io.kumquattrail.decision.identity.ServerName
+import io.kumquattrail.decision.time.MonotonicTime
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private const val RANKS = 4
+private val PASS_TIME = 30.milliseconds
+private val TICK = 5.milliseconds
+
+/** One rank of the simulated group, with the rules of the engines. */
+private class SimulatedRank {
+    var mapVersion = 0L
+    var highestVersion = 0L
+    var prepared: Long? = null
+    var armed: Pair<Long, Long>? = null
+    var held: Long? = null
+    var fence = 0L
+
+    fun order(
+        order: RankOrder,
+        number: Long,
+        begunPass: Long,
+    ): OrderAnswer {
+        if (number < fence) return OrderAnswer.FENCED
+        fence = number
+        val isFitting =
+            when (order) {
+                is RankOrder.Prepare -> {
+                    order.version > highestVersion && armed == null
+                }
+
+                is RankOrder.Arm -> {
+                    armed == order.version to order.pass ||
+                        (prepared == order.version && order.pass > begunPass)
+                }
+
+                is RankOrder.Disarm -> {
+                    armed?.first == order.version
+                }
+
+                is RankOrder.Hold -> {
+                    order.pass > begunPass && (held == null || held == order.pass)
+                }
+
+                is RankOrder.Release -> {
+                    held == order.pass
+                }
+            }
+        if (!isFitting) return OrderAnswer.CONFLICT
+        when (order) {
+            is RankOrder.Prepare -> {
+                highestVersion = order.version
+                prepared = order.version
+            }
+
+            is RankOrder.Arm -> {
+                armed = order.version to order.pass
+            }
+
+            is RankOrder.Disarm -> {
+                armed = null
+            }
+
+            is RankOrder.Hold -> {
+                held = order.pass
+            }
+
+            is RankOrder.Release -> {
+                held = null
+            }
+        }
+        return OrderAnswer.ACCEPTED
+    }
+}
+
+/** A group whose passes go on in virtual time, and whose orders can be lost or carried out seconds later. */
+private class SimulatedGroup(
+    private val random: Random,
+    private val lostShare: Double,
+) {
+    val ranks = List(RANKS) { SimulatedRank() }
+    val torn = ArrayList<String>()
+    var pass = 0L
+    var now = MonotonicTime.ZERO
+    private var nextPassAt = now
+    private val late = ArrayList<Pair<MonotonicTime, () -> Unit>>()
+
+    fun tick() {
+        now += TICK
+        late.filter { it.first <= now }.also { due -> late.removeAll(due.toSet()) }.forEach { it.second() }
+        if (now < nextPassAt || ranks.any { it.held == pass + 1 }) return
+        pass += 1
+        nextPassAt = now + PASS_TIME
+        ranks.forEach { rank ->
+            val armed = rank.armed
+            if (armed != null && armed.second <= pass) {
+                rank.mapVersion = armed.first
+                rank.armed = null
+                rank.prepared = null
+            }
+        }
+        if (ranks.distinctBy { it.mapVersion }.size > 1) torn += "pass $pass: ${ranks.map { it.mapVersion }}"
+    }
+
+    fun send(
+        due: DueOrder,
+        fence: Long,
+    ): OrderAnswer {
+        val number = if (due.takesBack) fence + 1 else fence
+        if (random.nextDouble() >= lostShare) return ranks[due.rank].order(due.order, number, pass)
+        if (random.nextBoolean()) {
+            val at = now + random.nextInt(200, 6_000).milliseconds
+            late += at to { ranks[due.rank].order(due.order, number, pass) }
+        } else {
+            // The order is carried out and only its answer is lost.
+            ranks[due.rank].order(due.order, number, pass)
+        }
+        return OrderAnswer.UNKNOWN
+    }
+
+    fun states() =
+        ranks.mapIndexed { index, rank ->
+            RankState(
+                server = ServerName("s$index"),
+                group = "g",
+                epoch = 1,
+                rank = index,
+                size = RANKS,
+                isOpen = true,
+                pass = pass,
+                mapVersion = rank.mapVersion,
+                preparedVersion = rank.prepared,
+                armedVersion = rank.armed?.first,
+                heldPass = rank.held,
+            )
+        }
+}
+
+private class Driver(
+    private val group: SimulatedGroup,
+    private val fence: Long,
+    private val switch: MapSwitch,
+) {
+    private val arriving = ArrayList<Triple<MonotonicTime, DueOrder, OrderAnswer>>()
+
+    fun tick() {
+        arriving
+            .filter { it.first <= group.now }
+            .also { arriving.removeAll(it.toSet()) }
+            .forEach { (_, due, answer) -> switch.answered(due.rank, due.order, answer, group.now) }
+        if (switch.awaitsReport) switch.reported(group.states(), group.now)
+        if (switch.awaitsCopies) switch.copying.forEach { if (group.ranks[it].prepared != null) switch.copied(it) }
+        switch.due(group.now).forEach { due ->
+            val answer = group.send(due, fence)
+            val delay = if (answer == OrderAnswer.UNKNOWN) 150.milliseconds else TICK
+            arriving += Triple(group.now + delay, due, answer)
+        }
+    }
+}
+
+private fun SimulatedGroup.begin(version: Long) =
+    MapSwitch.begin(states(), version, mapInTurn(ranks = RANKS, sets = 1, experts = 8), now)
+
+private fun SimulatedGroup.run(
+    driver: Driver,
+    until: () -> Boolean,
+    atMost: Duration = 20.seconds,
+) {
+    val end = now + atMost
+    while (!until() && now < end) {
+        tick()
+        driver.tick()
+    }
+}
+
+class MapSwitchSpec :
+    DescribeSpec({
+        describe("a switch") {
+            it("brings all ranks to the new map within a few passes when nothing is lost") {
+                val group = SimulatedGroup(Random(1), lostShare = 0.0)
+                val switch = group.begin(version = 1)
+                group.run(
+                    Driver(group, fence = 10, switch),
+                    until = { group.ranks.all { it.mapVersion == 1L } },
+                    atMost = 1.seconds,
+                )
+                switch.phase shouldBe MapSwitchPhase.DONE
+                group.ranks.map { it.mapVersion } shouldBe List(RANKS) { 1L }
+                group.torn.shouldBeEmpty()
+            }
+
+            it("never lets a pass begin with two maps when orders are lost or carried out seconds later") {
+                var done = 0
+                repeat(300) { seed ->
+                    val group = SimulatedGroup(Random(seed), lostShare = 0.3)
+                    repeat(3) { round ->
+                        val switch = group.begin(version = 10L * round + 1)
+                        group.run(Driver(group, fence = 100L * (round + 1), switch), until = { switch.isOver })
+                        if (switch.phase == MapSwitchPhase.DONE) done += 1
+                    }
+                    repeat(2_000) { group.tick() }
+                    group.torn.shouldBeEmpty()
+                }
+                done shouldBeGreaterThan 600
+            }
+        }
+
+        describe("a process that takes over a group in the middle of a switch") {
+            it("leaves no pass with two maps and no group held, wherever the other one stopped") {
+                repeat(400) { seed ->
+                    val random = Random(seed)
+                    val group = SimulatedGroup(random, lostShare = 0.2)
+                    val first = group.begin(version = 1)
+                    val stoppedAt = group.now + random.nextInt(0, 400).milliseconds
+                    val firstDriver = Driver(group, fence = 10, first)
+                    group.run(firstDriver, until = { group.now >= stoppedAt || first.isOver })
+                    repeat(100) { group.tick() }
+                    val second = MapSwitch.takeOver(group.states(), group.now)
+                    if (second != null) {
+                        val secondDriver = Driver(group, fence = 20, second)
+                        // The first process wakes up in the middle and goes on with what it believed.
+                        val end = group.now + 20.seconds
+                        while (!second.isOver && group.now < end) {
+                            group.tick()
+                            if (random.nextBoolean()) firstDriver.tick()
+                            secondDriver.tick()
+                        }
+                        second.isOver shouldBe true
+                    }
+                    repeat(3_000) { group.tick() }
+                    group.torn.shouldBeEmpty()
+                    val later = MapSwitch.takeOver(group.states(), group.now)
+                    if (later != null) {
+                        group.run(Driver(group, fence = 30, later), until = { later.isOver })
+                        later.isOver shouldBe true
+                    }
+                    group.torn.shouldBeEmpty()
+                }
+            }
+        }
+    })
--- /dev/null
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/expert/replica/ReplicaPlannerSpec.kt
@@ -0,0 +1,156 @@
+package io.kumquattrail.decision.expert.replica
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.comparables.shouldBeGreaterThan
+import io.kotest.matchers.comparables.shouldBeLessThan
+import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
+import io.kotest.matchers.shouldBe
+import io.kumquattrail.decision.identity.ServerName
+import io.kumquattrail.decision.time.MonotonicTime
+import kotlinx.collections.immutable.toImmutableList
+import kotlinx.collections.immutable.toImmutableSet
+import kotlin.math.pow
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+internal fun mapInTurn(
+    ranks: Int,
+    sets: Int,
+    experts: Int,
+) = ReplicaMap(
+    List(sets) {
+        List(ranks) { rank -> (rank until experts step ranks).toImmutableSet() }.toImmutableList()
+    }.toImmutableList(),
+)
+
+/** Popularity that falls as a power of an expert's place in a random order, as traffic shows it. */
+internal fun skewed(
+    sets: Int,
+    experts: Int,
+    random: Random,
+    exponent: Double = 1.1,
+) = ExpertPopularity(
+    List(sets) {
+        val order = (0 until experts).shuffled(random)
+        val weights = DoubleArray(experts)
+        order.forEachIndexed { place, expert -> weights[expert] = (place + 1.0).pow(-exponent) }
+        val total = weights.sum()
+        DoubleArray(experts) { weights[it] / total }
+    },
+)
+
+class ReplicaPlannerSpec :
+    DescribeSpec({
+        val limits = ReplicaLimits(placementsPerRank = 5, newPerSet = 2)
+        val planner = ReplicaPlanner(limits)
+
+        describe("a plan after popularity has shifted") {
+            it("halves the load of the most loaded rank at least, within the copies of one short change") {
+                var map = mapInTurn(ranks = 16, sets = 4, experts = 64)
+                val random = Random(11)
+                repeat(12) {
+                    val popularity = skewed(sets = 4, experts = 64, random = random)
+                    val planned = planner.plan(map, popularity)
+                    (planned.imbalance(popularity) - 1) shouldBeLessThan (map.imbalance(popularity) - 1) / 2
+                    planned.copiesAfter(map).max() shouldBeLessThanOrEqualTo limits.copiesPerRank
+                    map = planned
+                }
+            }
+
+            it("keeps every expert somewhere and every rank within its places, so that ranks accept it") {
+                var map = mapInTurn(ranks = 16, sets = 4, experts = 64)
+                val random = Random(12)
+                repeat(12) {
+                    val planned = planner.plan(map, skewed(sets = 4, experts = 64, random = random))
+                    planned.sets.forEachIndexed { set, ranks ->
+                        ranks.flatten().toSet().size shouldBe 64
+                        ranks.maxOf { it.size } shouldBeLessThanOrEqualTo limits.placementsPerRank
+                        ranks.indices.forEach {
+                            (ranks[it] - map.sets[set][it]).size shouldBeLessThanOrEqualTo
+                                limits.newPerSet
+                        }
+                    }
+                    map = planned
+                }
+            }
+
+            it("copies nothing when the load is even") {
+                val map = mapInTurn(ranks = 16, sets = 4, experts = 64)
+                val even = ExpertPopularity(List(4) { DoubleArray(64) { 1.0 / 64 } })
+                planner.plan(map, even) shouldBe map
+            }
+        }
+    })
+
+class PaceWatchSpec :
+    DescribeSpec({
+        val start = MonotonicTime.ZERO
+
+        fun PaceWatch.write(
+            from: Int,
+            until: Int,
+            pause: Int,
+        ) {
+            for (at in from until until step 10) observed(pause.milliseconds, start + at.milliseconds)
+        }
+
+        describe("a group whose passes get longer") {
+            it("is noticed within a quarter of a second") {
+                val watch = PaceWatch()
+                watch.write(from = 0, until = 1_000, pause = 40)
+                watch.hasSlowed(tolerated = 60.milliseconds, now = start + 1.seconds) shouldBe false
+                watch.write(from = 1_000, until = 1_250, pause = 100)
+                watch.hasSlowed(tolerated = 60.milliseconds, now = start + 1_250.milliseconds) shouldBe true
+            }
+
+            it("is noticed when the shift came while the map was changed") {
+                val watch = PaceWatch()
+                watch.write(from = 0, until = 1_000, pause = 40)
+                watch.hasSlowed(tolerated = 60.milliseconds, now = start + 1.seconds)
+                watch.changed(start + 1.seconds)
+                watch.write(from = 1_000, until = 1_300, pause = 100)
+                watch.hasSlowed(tolerated = 60.milliseconds, now = start + 1_300.milliseconds) shouldBe true
+            }
+
+            it("is left alone while its pauses are well within what callers need") {
+                val watch = PaceWatch()
+                watch.write(from = 0, until = 1_000, pause = 20)
+                watch.hasSlowed(tolerated = 60.milliseconds, now = start + 1.seconds)
+                watch.write(from = 1_000, until = 1_300, pause = 50)
+                watch.hasSlowed(tolerated = 60.milliseconds, now = start + 1_300.milliseconds) shouldBe false
+            }
+        }
+    })
+
+class ChoiceCounterSpec :
+    DescribeSpec({
+        val server = ServerName("s1")
+        val start = MonotonicTime.ZERO
+
+        fun reading(
+            vararg counts: Long,
+            epoch: Long = 1,
+        ) = RankChoices(server, epoch, listOf(counts))
+
+        describe("the estimate after a shift") {
+            it("rests on the choices since the last reading only") {
+                val counter = ChoiceCounter()
+                counter.read(reading(1_000, 0), start)
+                counter.restart()
+                counter.read(reading(1_000, 500), start + 250.milliseconds)
+                counter.popularity()!!.shares.single()[1] shouldBeGreaterThan 0.95
+            }
+
+            it("does not take counts that began anew after a restart of the rank as negative choices") {
+                val counter = ChoiceCounter()
+                counter.read(reading(1_000, 1_000), start)
+                counter.read(reading(10, 0, epoch = 2), start + 1.seconds)
+                counter
+                    .popularity()!!
+                    .shares
+                    .single()
+                    .min() shouldBeGreaterThan 0.0
+            }
+        }
+    })
