--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/MapSwitch.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/MapSwitch.kt
@@ -33,6 +33,9 @@
     /** The group is kept from passing the pass at which ranks switch. */
     HOLDING,
 
+    /** It is not known whether the group is held; it is let go before another pass is tried. */
+    UNHOLDING,
+
     /** Ranks are told at which pass to switch. */
     ARMING,
 
@@ -112,12 +115,29 @@
     fun due(now: MonotonicTime): List<DueOrder> {
         if (phase == MapSwitchPhase.PREPARING && now > prepareUntil) phase = MapSwitchPhase.ABANDONED
         return when (phase) {
-            MapSwitchPhase.PREPARING -> toAll(now) { RankOrder.Prepare(version, checkNotNull(map)) }
-            MapSwitchPhase.HOLDING, MapSwitchPhase.TAKING_OVER -> toFirst(now, RankOrder.Hold(pass))
-            MapSwitchPhase.ARMING -> toAll(now) { RankOrder.Arm(version, pass) }
-            MapSwitchPhase.DISARMING -> toAll(now) { RankOrder.Disarm(version) }
-            MapSwitchPhase.RELEASING, MapSwitchPhase.RELEASING_UNCHANGED -> toFirst(now, RankOrder.Release(pass))
-            MapSwitchPhase.DONE, MapSwitchPhase.ABANDONED, MapSwitchPhase.FENCED -> emptyList()
+            MapSwitchPhase.PREPARING -> {
+                toAll(now) { RankOrder.Prepare(version, checkNotNull(map)) }
+            }
+
+            MapSwitchPhase.HOLDING, MapSwitchPhase.TAKING_OVER -> {
+                toFirst(now, RankOrder.Hold(pass))
+            }
+
+            MapSwitchPhase.ARMING -> {
+                toAll(now) { RankOrder.Arm(version, pass) }
+            }
+
+            MapSwitchPhase.DISARMING -> {
+                toAll(now) { RankOrder.Disarm(version) }
+            }
+
+            MapSwitchPhase.RELEASING, MapSwitchPhase.RELEASING_UNCHANGED, MapSwitchPhase.UNHOLDING -> {
+                toFirst(now, RankOrder.Release(pass))
+            }
+
+            MapSwitchPhase.DONE, MapSwitchPhase.ABANDONED, MapSwitchPhase.FENCED -> {
+                emptyList()
+            }
         }
     }
 
@@ -177,6 +197,7 @@
         when (phase) {
             MapSwitchPhase.TAKING_OVER -> if (ranks.first().accepted) enter(MapSwitchPhase.DISARMING)
             MapSwitchPhase.HOLDING -> if (ranks.first().accepted) enter(MapSwitchPhase.ARMING)
+            MapSwitchPhase.UNHOLDING -> if (ranks.first().accepted) hold()
             MapSwitchPhase.ARMING -> if (ranks.all { it.accepted }) enter(MapSwitchPhase.RELEASING)
             MapSwitchPhase.RELEASING -> if (ranks.first().accepted) phase = MapSwitchPhase.DONE
             MapSwitchPhase.DISARMING -> if (ranks.all { it.accepted }) enter(MapSwitchPhase.RELEASING_UNCHANGED)
@@ -190,6 +211,11 @@
         order: RankOrder,
         now: MonotonicTime,
     ) {
+        if (progress.uncertain && phase == MapSwitchPhase.HOLDING) {
+            lastPass = maxOf(lastPass, pass)
+            return enter(MapSwitchPhase.UNHOLDING)
+        }
+        if (phase == MapSwitchPhase.UNHOLDING) return hold()
         // A rank may refuse to be held twice, so its report decides whether it still is.
         if (progress.uncertain || phase == MapSwitchPhase.TAKING_OVER) {
             // The earlier copy may have been carried out; the report shows it after its lag.
@@ -255,7 +281,7 @@
                 progress.accepted = state.armedVersion != version
             }
 
-            MapSwitchPhase.RELEASING, MapSwitchPhase.RELEASING_UNCHANGED -> {
+            MapSwitchPhase.RELEASING, MapSwitchPhase.RELEASING_UNCHANGED, MapSwitchPhase.UNHOLDING -> {
                 progress.accepted = state.heldPass == null
             }
 
@@ -289,7 +315,7 @@
             }
 
             is RankOrder.Release -> {
-                phase == MapSwitchPhase.RELEASING || phase == MapSwitchPhase.RELEASING_UNCHANGED
+                phase in RELEASES && order.pass == pass
             }
         }
 
@@ -318,6 +344,9 @@
     }
 
     companion object {
+        private val RELEASES =
+            setOf(MapSwitchPhase.RELEASING, MapSwitchPhase.RELEASING_UNCHANGED, MapSwitchPhase.UNHOLDING)
+
         /** Begins the switch of a group to [map], which gets [version]. */
         fun begin(
             states: List<RankState>,
--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/PaceWatch.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/PaceWatch.kt
@@ -11,12 +11,14 @@
  * Load pattern: the popularity of experts shifts while requests run. All ranks work in lockstep, so every stream of the
  * group shows the time of a pass, and a shift shows within a few passes, at no price, before any count is read.
  *
- * @property window time whose pauses count as the present pace.
+ * @property window time after which a pause says nothing of the present; several passes of a slow group.
+ * @property settling time after a change until pauses that began before it are over.
  * @property slowdown ratio of the present pace to the reference at which the group counts as slower.
  */
 class PaceWatch(
-    private val window: Duration = 250.milliseconds,
+    private val window: Duration = 600.milliseconds,
     private val slowdown: Double = 1.25,
+    private val settling: Duration = 150.milliseconds,
 ) {
     private val pauses = ArrayDeque<Pause>()
     private var reference: Duration? = null
@@ -41,13 +43,13 @@
     fun changed(now: MonotonicTime) {
         pauses.clear()
         reference = reference?.let { it * REFERENCE_GROWTH }
-        settlesAt = now + window
+        settlesAt = now + settling
     }
 
     /** Takes the present pace as the reference, as the group was found in order. */
     fun foundInOrder(now: MonotonicTime) {
         reference = present(now)
-        settlesAt = now + window
+        settlesAt = now + settling
     }
 
     /** Tells whether the group has become slower than the reference and pauses are longer than [tolerated]. */
@@ -66,7 +68,8 @@
     private fun present(now: MonotonicTime): Duration? {
         while (pauses.isNotEmpty() && now - pauses.first().at > window) pauses.removeFirst()
         if (pauses.size < LEAST_PAUSES) return null
-        return pauses.map { it.length.inWholeNanoseconds }.sorted()[pauses.size / 2].nanoseconds
+        val latest = pauses.takeLast(MOST_PAUSES).map { it.length.inWholeNanoseconds }.sorted()
+        return latest[latest.size / 2].nanoseconds
     }
 
     private class Pause(
@@ -78,6 +81,9 @@
         /** Pauses without which a median says little. */
         const val LEAST_PAUSES = 6
 
+        /** Pauses of which the median is taken; about those of one pass at a process that serves a fifth of the group. */
+        const val MOST_PAUSES = 12
+
         /** Growth of the reference with each change, as the traffic of a later time may be heavier. */
         const val REFERENCE_GROWTH = 1.05
     }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
@@ -26,6 +26,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import java.util.concurrent.Executors
+import kotlin.math.roundToInt
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -195,6 +196,8 @@
         readings.filterNotNull().forEach { view.counter.read(it, now) }
     }
 
+    private fun rounded(imbalance: Double): Double = (imbalance * ROUNDING).roundToInt() / ROUNDING
+
     /** Plans and makes a change that is worth it; tells whether there was one. */
     private suspend fun improve(
         service: ServiceName,
@@ -210,12 +213,15 @@
         val planned = withContext(planning) { planner.plan(map, popularity) }
         val before = map.imbalance(popularity)
         val after = planned.imbalance(popularity)
-        if (before - after < LEAST_GAIN) return false
+        if (before - after < LEAST_GAIN) {
+            state.log.log("map_kept", "service" to service, "imbalance" to rounded(before), "planned" to rounded(after))
+            return false
+        }
         state.log.log(
             "map_planned",
             "service" to service,
-            "imbalance" to "%.3f".format(java.util.Locale.ROOT, before),
-            "planned" to "%.3f".format(java.util.Locale.ROOT, after),
+            "imbalance" to rounded(before),
+            "planned" to rounded(after),
             "copies" to planned.copiesAfter(map).sum(),
             "evidence" to view.counter.evidence.toLong(),
             "planning_ms" to (ProcessClock.monotonic() - began).inWholeMilliseconds,
@@ -374,6 +380,9 @@
         /** Fencing numbers of one switch: one to order it and one to take it back. */
         const val FENCES_PER_SWITCH = 2
 
+        /** Imbalances are logged to a thousandth. */
+        const val ROUNDING = 1_000.0
+
         /** Versions of one change are drawn from so many, so that two processes hardly ever draw the same. */
         const val VERSION_SPREAD = 1_000
 
