--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/MapSwitch.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/MapSwitch.kt
@@ -19,7 +19,7 @@
     val prepareWithin: Duration = 5.seconds,
     val reportLag: Duration = 350.milliseconds,
     val passesAhead: Long = 1,
-    val holdsAtMost: Int = 24,
+    val holdsAtMost: Int = 48,
 )
 
 /** Tells how far a map switch has come. */
@@ -188,7 +188,8 @@
     val copying: List<Int> get() = ranks.indices.filter { !ranks[it].copied }
 
     private fun hold() {
-        pass = lastPass + settings.passesAhead
+        // A group that moves on faster than orders are answered is met by longer steps.
+        pass = lastPass + (settings.passesAhead shl minOf(holdsTried / HOLDS_PER_STEP, LONGEST_STEP_POWER))
         phase = MapSwitchPhase.HOLDING
         ranks.first().nextStep()
     }
@@ -213,6 +214,7 @@
     ) {
         if (progress.uncertain && phase == MapSwitchPhase.HOLDING) {
             lastPass = maxOf(lastPass, pass)
+            holdsTried += HOLDS_PER_STEP
             return enter(MapSwitchPhase.UNHOLDING)
         }
         if (phase == MapSwitchPhase.UNHOLDING) return hold()
@@ -344,6 +346,12 @@
     }
 
     companion object {
+        /** Holds that are tried before the step to the next pass doubles; reports lag by a few passes. */
+        private const val HOLDS_PER_STEP = 6
+
+        /** The longest step is this power of two, about a second of passes. */
+        private const val LONGEST_STEP_POWER = 4
+
         private val RELEASES =
             setOf(MapSwitchPhase.RELEASING, MapSwitchPhase.RELEASING_UNCHANGED, MapSwitchPhase.UNHOLDING)
 
