--- a/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
@@ -27,8 +27,10 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -67,7 +69,7 @@
     private val headers: ForwardingHeaders,
     private val readinessPath: String,
     decodeConfiguration: (ByteArray) -> RoutingConfiguration?,
-) {
+) : AutoCloseable {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val eventLoop = group.next()
     private val failures =
@@ -162,6 +164,12 @@
         }
     }
 
+    /** Ends the gateway at once. */
+    override fun close() {
+        scope.cancel()
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
+    }
+
     private fun listen(
         address: NetworkAddress,
         handler: CallerRequestHandler,
--- /dev/null
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/ScriptedServer.kt
@@ -0,0 +1,107 @@
+package io.kumquattrail.forward.process
+
+import java.io.InputStream
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.concurrent.thread
+
+/** A request that a [ScriptedServer] has received. */
+class ReceivedRequest(
+    val head: String,
+    val body: String,
+) {
+    fun header(name: String): String? =
+        head
+            .lines()
+            .firstOrNull { it.startsWith("$name:", ignoreCase = true) }
+            ?.substringAfter(':')
+            ?.trim()
+}
+
+/**
+ * A backend server on loopback whose answers are the bytes of a script.
+ *
+ * @property answer writes to the socket; the connection stays open when it returns `true`.
+ */
+class ScriptedServer(
+    private val answer: (ReceivedRequest, Socket) -> Boolean,
+) : AutoCloseable {
+    private val listener = ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))
+    private val sockets = CopyOnWriteArrayList<Socket>()
+    val received = CopyOnWriteArrayList<ReceivedRequest>()
+    val port: Int get() = listener.localPort
+
+    init {
+        thread(isDaemon = true) {
+            while (!listener.isClosed) {
+                val socket = runCatching { listener.accept() }.getOrNull() ?: break
+                sockets += socket
+                thread(isDaemon = true) { serve(socket) }
+            }
+        }
+    }
+
+    /** Waits until [count] requests have arrived. */
+    fun awaitRequests(count: Int) {
+        while (received.size < count) Thread.sleep(5)
+    }
+
+    override fun close() {
+        listener.close()
+        sockets.forEach { it.close() }
+    }
+
+    private fun serve(socket: Socket) {
+        socket.use {
+            while (true) {
+                val request = readRequest(socket.getInputStream()) ?: return
+                received += request
+                if (!answer(request, socket)) return
+            }
+        }
+    }
+}
+
+/** Reads one request, or returns `null` at the end of the connection. */
+fun readRequest(input: InputStream): ReceivedRequest? {
+    val head = StringBuilder()
+    while (!head.endsWith("\r\n\r\n")) {
+        val byte = runCatching { input.read() }.getOrDefault(-1)
+        if (byte < 0) return null
+        head.append(byte.toChar())
+    }
+    val length =
+        Regex("(?i)content-length: *(\\d+)")
+            .find(head)
+            ?.groupValues
+            ?.get(1)
+            ?.toInt() ?: 0
+    return ReceivedRequest(head.toString(), String(input.readNBytes(length)))
+}
+
+fun Socket.send(text: String) {
+    getOutputStream().write(text.toByteArray())
+    getOutputStream().flush()
+}
+
+/** A complete response of a server with [body]. */
+fun response(
+    request: ReceivedRequest,
+    body: String,
+    status: String = "200 OK",
+    requestId: String? = request.header("Request"),
+    headers: String = "Signature: s1\r\n",
+): String =
+    "HTTP/1.1 $status\r\n" + (requestId?.let { "Request: $it\r\n" } ?: "") + headers +
+        "Content-Length: ${body.length}\r\n\r\n$body"
+
+/** The head of a stream and its first [events], as chunks. */
+fun streamHead(request: ReceivedRequest): String =
+    "HTTP/1.1 200 OK\r\nRequest: ${request.header("Request")}\r\nSignature: s1\r\n" +
+        "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+fun chunk(text: String): String = "${text.length.toString(16)}\r\n$text\r\n"
+
+const val LAST_CHUNK: String = "0\r\n\r\n"
