--- a/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
@@ -72,6 +72,9 @@
 ) : AutoCloseable {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val eventLoop = group.next()
+
+    /** Runs coroutines on the gateway's event loop. */
+    val dispatcher = eventLoop.asCoroutineDispatcher()
     private val failures =
         CoroutineExceptionHandler { _, cause ->
             log.failure(
@@ -80,7 +83,7 @@
                 "at" to cause.stackTrace.firstOrNull(),
             )
         }
-    private val scope = CoroutineScope(SupervisorJob() + eventLoop.asCoroutineDispatcher() + failures)
+    private val scope = CoroutineScope(SupervisorJob() + dispatcher + failures)
     private val metrics = ForwardingMetrics()
     private val serverPool = ServerConnectionPool(eventLoop, requestIdHeader = headers.requestId)
 
