Tell callers of a broken group when to return, and find its new formation

Now they are told 2.2 to 2.6 s. The survey took servers of the old formation for ranks too (21 ranks of 16) and asked all 16 every 60 ms; it takes the newest formation only and waits 300 ms between attempts.

--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -308,11 +308,18 @@
         when {
             exchange.isStarted -> exchange.breakOff()
             failure.reply != null -> exchange.respond(failure.reply)
-            call.runs == 0 -> refuse(exchange, call.requestId, 503, failure.reason, FAILED_RETRY)
+            call.runs == 0 -> refuse(exchange, call.requestId, 503, failure.reason, retryAfter(failure))
             else -> refuse(exchange, call.requestId, 502, failure.reason, null)
         }
     }
 
+    /**
+     * Load pattern: a rank of a group fails, and for some seconds every rank refuses all requests. Callers that return
+     * at once are refused again and have used their last try, so they are told to return when the group has formed anew.
+     */
+    private fun retryAfter(failure: AttemptOutcome.Failed): Duration =
+        if (failure.faultyServer == null) FAILED_RETRY else GROUP_RETRY * (1 + GROUP_SPREAD * random.nextDouble())
+
     private fun giveUp(
         call: Call,
         refused: Room.Refused,
@@ -482,6 +489,12 @@
         /** Another process may be in touch with the configuration service, and new connections reach others. */
         val OUTDATED_RETRY = 300.milliseconds
 
+        /** A failed rank stalls its group for 1.5 s, restarts and joins; callers honour a third of their 8 s. */
+        val GROUP_RETRY = 2_200.milliseconds
+
+        /** Share of that time over which returning callers are spread. */
+        const val GROUP_SPREAD = 0.2
+
         /** Time in which a failed server is found and avoided. */
         val FAILED_RETRY = 400.milliseconds
     }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
@@ -103,9 +103,7 @@
         val servers = state.catalogue.servers.filter { it.service == service }
         if (servers.isEmpty()) return
         val view = groups.getOrPut(service) { GroupView() }
-        if (view.isStale) {
-            if (!survey(service, view, servers, figures)) return
-        }
+        if (view.isStale && !survey(service, view, servers, figures)) return delay(SURVEY_PAUSE)
         val now = ProcessClock.monotonic()
         val slowed = view.pace.hasSlowed(tolerated = toleratedPause(service), now = now)
         val isDue = now - view.lookedAt >= LONGEST_INTERVAL && view.pace.isObserved
@@ -151,7 +149,9 @@
         figures: EngineGroupFigures,
     ): Boolean {
         val states = states(servers)
-        val open = states.filter { it.isOpen }
+        // Servers that have left still report the formation in which they were.
+        val newest = states.maxOfOrNull { it.epoch }
+        val open = states.filter { it.isOpen && it.epoch == newest }
         val size = open.firstOrNull()?.size ?: return false
         val ordered = open.sortedBy { it.rank }
         if (ordered.map { it.rank } != (0 until size).toList() || ordered.distinctBy { it.epoch }.size != 1) {
@@ -368,6 +368,9 @@
         /** Ranks whose counts are read in a round. Counts read from another VM pause the group for a moment. */
         const val SAMPLED_RANKS = 4
 
+        /** Time between attempts to find a complete group; one forms anew in seconds. */
+        val SURVEY_PAUSE = 300.milliseconds
+
         /** Share of the longest pause on time up to which a group is left alone; the rest is for prompts and bursts. */
         const val TOLERATED_SHARE = 0.5
 
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/GatewaySpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/GatewaySpec.kt
@@ -316,6 +316,21 @@
                 }
             }
 
+            it("that a broken group refuses is told to return when the group has formed anew, not at once") {
+                val broken =
+                    ScriptedServer { request, socket ->
+                        val headers = "Not-Run: 1\r\nFaulty: 127.0.0.1:9\r\n"
+                        socket.send(response(request, "", "503 Broken", headers = headers)).let { true }
+                    }
+                serving(broken) { fixture ->
+                    fixture.connect().use {
+                        it.ask("/streaming/x", "POST")
+                        val seconds = it.answer()!!.header("Retry-After")!!.toDouble()
+                        (seconds in 2.2..2.64) shouldBe true
+                    }
+                }
+            }
+
             it("is refused while the configuration is not confirmed, as its key may have been revoked") {
                 val server = ScriptedServer { request, socket -> socket.send(response(request, "done")).let { true } }
                 serving(server, confirmed = false) { fixture ->
