--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/Call.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/Call.kt
@@ -35,6 +35,9 @@
     /** Number of sendings that may have run. */
     var runs = 0
 
+    /** Whether a server refused it because another rank of its group has failed. */
+    var metBrokenGroup = false
+
     /** Time of the last event of the stream; `null` before the first. */
     var lastEventAt: MonotonicTime? = null
 
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -125,8 +125,14 @@
             val outcome = attempt(call, room.server)
             log(call, room.server, outcome)
             when (outcome) {
-                is AttemptOutcome.Finished -> return
-                is AttemptOutcome.Failed -> if (!mayRetry(call, outcome)) return fail(call, outcome)
+                is AttemptOutcome.Finished -> {
+                    return
+                }
+
+                is AttemptOutcome.Failed -> {
+                    if (outcome.faultyServer != null) call.metBrokenGroup = true
+                    if (!mayRetry(call, outcome)) return fail(call, outcome)
+                }
             }
         }
     }
@@ -308,7 +314,7 @@
         when {
             exchange.isStarted -> exchange.breakOff()
             failure.reply != null -> exchange.respond(failure.reply)
-            call.runs == 0 -> refuse(exchange, call.requestId, 503, failure.reason, retryAfter(failure))
+            call.runs == 0 -> refuse(exchange, call.requestId, 503, failure.reason, retryAfter(call, FAILED_RETRY))
             else -> refuse(exchange, call.requestId, 502, failure.reason, null)
         }
     }
@@ -317,8 +323,10 @@
      * Load pattern: a rank of a group fails, and for some seconds every rank refuses all requests. Callers that return
      * at once are refused again and have used their last try, so they are told to return when the group has formed anew.
      */
-    private fun retryAfter(failure: AttemptOutcome.Failed): Duration =
-        if (failure.faultyServer == null) FAILED_RETRY else GROUP_RETRY * (1 + GROUP_SPREAD * random.nextDouble())
+    private fun retryAfter(
+        call: Call,
+        usual: Duration,
+    ): Duration = if (call.metBrokenGroup) GROUP_RETRY * (1 + GROUP_SPREAD * random.nextDouble()) else usual
 
     private fun giveUp(
         call: Call,
@@ -331,7 +339,7 @@
             call.requestId,
             status,
             refused.reason,
-            refused.retryAfter,
+            retryAfter(call, refused.retryAfter),
             "waiting" to refused.waiting,
             "expected_wait_ms" to refused.expectedWait?.inWholeMilliseconds,
         )
