Look at a group that writes nothing although it has work

A group that is held writes no events, and the keeper looked only at groups that did: one whose gateway was killed between hold and release would have stood still for good. Found by reading; GroupKeeperSpec fails without the look (the hold stays for its 5 s).

--- a/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
@@ -107,12 +107,15 @@
         val now = ProcessClock.monotonic()
         val slowed = view.pace.hasSlowed(tolerated = toleratedPause(service), now = now)
         val isDue = now - view.lookedAt >= LONGEST_INTERVAL && view.pace.isObserved
-        if (!slowed && !isDue) return
+        // A held or broken group writes nothing, so silence with work in progress is worth a look, too.
+        val isSilent = !view.pace.isObserved && now - view.lookedAt >= SILENT_INTERVAL && hasWork(servers)
+        if (!slowed && !isDue && !isSilent) return
         view.lookedAt = now
         val first = view.ranks.first()
         val report = control.state(first.server) ?: return view.forget()
         if (report.epoch != view.epoch || !report.isOpen) return view.forget()
         if (report.heldPass != null) return takeOver(service, view)
+        if (isSilent) return
         val hadBaseline = view.counter.hasBaseline
         read(view, figures)
         if (slowed || !hadBaseline) {
@@ -122,15 +125,12 @@
             read(view, figures)
         }
         val hasChanged = improve(service, view, figures)
-        if (hasChanged) {
-            view.pace.changed(
-                ProcessClock.monotonic(),
-            )
-        } else {
-            view.pace.foundInOrder(ProcessClock.monotonic())
-        }
+        val lookedUntil = ProcessClock.monotonic()
+        if (hasChanged) view.pace.changed(lookedUntil) else view.pace.foundInOrder(lookedUntil)
     }
 
+    private fun hasWork(servers: List<BackendServer>): Boolean = servers.any { it.name in state.loads.ownInProgress }
+
     /** A group that is well ahead of what its callers need is left alone, as counts, copies and orders have a price. */
     private fun toleratedPause(service: ServiceName): Duration =
         state.configuration
@@ -359,6 +359,9 @@
         /** Time after which counts are read without any sign of a shift. */
         val LONGEST_INTERVAL = 4.seconds
 
+        /** Silence of a group with work after which its state is read; several passes of a slow group. */
+        val SILENT_INTERVAL = 500.milliseconds
+
         /** Time over which choices are counted after a shift, about a pass of the slow group. */
         val SAMPLE_TIME = 120.milliseconds
 
--- /dev/null
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/expert/GroupKeeperSpec.kt
@@ -0,0 +1,130 @@
+package io.kumquattrail.forward.expert
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kumquattrail.decision.catalogue.BackendServer
+import io.kumquattrail.decision.expert.replica.OrderAnswer
+import io.kumquattrail.decision.expert.replica.RankChoices
+import io.kumquattrail.decision.expert.replica.RankOrder
+import io.kumquattrail.decision.expert.replica.RankState
+import io.kumquattrail.decision.identity.ProcessName
+import io.kumquattrail.decision.identity.ServerName
+import io.kumquattrail.decision.identity.ServiceName
+import io.kumquattrail.decision.identity.ZoneName
+import io.kumquattrail.decision.route.EngineFigures
+import io.kumquattrail.decision.route.EngineGroupFigures
+import io.kumquattrail.decision.route.RoutingConfiguration
+import io.kumquattrail.decision.route.ServiceDefinition
+import io.kumquattrail.forward.log.EventLog
+import io.kumquattrail.forward.process.GatewayState
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
+import java.io.ByteArrayOutputStream
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val SERVICE = ServiceName("drafting")
+private val FIGURES = EngineGroupFigures(layerSets = 1, experts = 4, placementsPerRank = 3, sparePlacements = 1)
+
+/** Two ranks, of which the first holds the group before a pass, as a gateway that is gone has left them. */
+private class HeldGroup : RankControl {
+    var heldPass: Long? = 7
+    val orders = ArrayList<Pair<String, RankOrder>>()
+
+    override suspend fun state(server: BackendServer) =
+        RankState(
+            server = server.name,
+            group = "g",
+            epoch = 1,
+            rank = server.port,
+            size = 2,
+            isOpen = true,
+            pass = 6,
+            mapVersion = 0,
+            heldPass = heldPass.takeIf { server.port == 0 },
+        )
+
+    override suspend fun choices(
+        server: BackendServer,
+        figures: EngineGroupFigures,
+    ) = RankChoices(server.name, epoch = 1, choices = listOf(longArrayOf(1, 1, 1, 1)))
+
+    override suspend fun holdings(server: BackendServer) =
+        RankHoldings(
+            epoch = 1,
+            mapVersion = 0,
+            preparedVersion = null,
+            experts =
+                listOf(
+                    setOf(
+                        server.port,
+                        server.port + 2,
+                    ),
+                ),
+        )
+
+    override suspend fun order(
+        server: BackendServer,
+        order: RankOrder,
+        epoch: Long,
+        fence: Long,
+    ): OrderAnswer {
+        orders += server.name.value to order
+        if (order is RankOrder.Release) heldPass = null
+        return if (order is RankOrder.Disarm) OrderAnswer.CONFLICT else OrderAnswer.ACCEPTED
+    }
+}
+
+class GroupKeeperSpec :
+    DescribeSpec({
+        describe("a group that a gateway has left held") {
+            it("is released by the next one, although it writes nothing that would show it") {
+                val control = HeldGroup()
+                val state = GatewayState(ProcessName("127.0.0.1:1"), ZoneName("a"), EventLog(ByteArrayOutputStream()))
+                val engine = EngineFigures(8, 1_000, 1.milliseconds, 1.milliseconds, 1.0, 1, 1, group = FIGURES)
+                state.publish(
+                    RoutingConfiguration(
+                        version = 1,
+                        routes = persistentListOf(),
+                        services =
+                            persistentMapOf(
+                                SERVICE to ServiceDefinition(SERVICE, "/health", 9, engine = engine),
+                            ),
+                    ),
+                    source = "test",
+                )
+                state.serversListed(
+                    (0..1).map {
+                        BackendServer(
+                            ServerName("s$it"),
+                            SERVICE,
+                            "127.0.0.1",
+                            it,
+                            ZoneName("a"),
+                            slots = 8,
+                        )
+                    },
+                    version = 1,
+                )
+                state.loads.started(ServerName("s1"))
+                runBlocking {
+                    val keeping = Job()
+                    GroupKeeper(
+                        state,
+                        control,
+                        peers = { emptyList() },
+                    ).start(CoroutineScope(coroutineContext + keeping))
+                    withTimeoutOrNull(5.seconds) { while (control.heldPass != null) delay(20) }
+                    keeping.cancel()
+                }
+                control.heldPass.shouldBeNull()
+                control.orders shouldContain ("s0" to RankOrder.Hold(pass = 7))
+            }
+        }
+    })
