Split the translation of requests from forwarding and name the refusal of late requests

No change of behaviour: RequestTranslation holds what CallForwarder did between headers, unused parameters and a function without caller go, and isLeft is refusesNewRequests.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/placement/EvenPlacement.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/placement/EvenPlacement.kt
@@ -9,8 +9,8 @@
  * Weighs what placement considers besides the free slots.
  *
  * @property failurePenalty slots' worth of load that a server with only failures counts more.
- * @property otherZonePenalty slots' worth of load that a server in another zone counts more. It keeps requests in their
- *   zone between equally loaded servers only.
+ * @property otherZonePenalty slots' worth of load that a server in another zone counts more. With a preference, the
+ *   processes of a zone fill the same servers, so it is 0 unless bytes between zones matter more than an even load.
  */
 data class EvenPlacementSettings(
     val failurePenalty: Double = 8.0,
--- a/decision/src/main/kotlin/io/kumquattrail/decision/route/RoutingConfiguration.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/route/RoutingConfiguration.kt
@@ -4,7 +4,6 @@
 import io.kumquattrail.decision.identity.ServiceName
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.ImmutableMap
-import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlin.time.Duration
 
@@ -158,7 +157,3 @@
     val headerTimeout: Duration = Duration.parse("3s"),
     val idleTimeout: Duration = Duration.parse("15s"),
 )
-
-/** Returns a configuration without routes, of the version before any published one. */
-fun emptyRoutingConfiguration(): RoutingConfiguration =
-    RoutingConfiguration(version = 0, routes = persistentListOf(), services = persistentMapOf())
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -21,6 +21,7 @@
 import io.kumquattrail.forward.process.ProcessClock
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import kotlinx.coroutines.withTimeoutOrNull
+import java.util.Locale
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -37,10 +38,12 @@
     private val onPause: (ServiceName, Duration, MonotonicTime) -> Unit,
     private val random: Random = Random.Default,
 ) : CallerRequestHandler {
+    private val translation = RequestTranslation(headers)
+
     override suspend fun handle(exchange: CallerExchange) {
         val request = exchange.request
         val requestId = request.headers.get(headers.requestId)
-        if (state.isLeft) return refuse(exchange, requestId, 503, "stopping", STOPPING_RETRY)
+        if (state.refusesNewRequests) return refuse(exchange, requestId, 503, "stopping", STOPPING_RETRY)
         val configuration =
             state.configuration ?: return refuse(exchange, requestId, 503, "no_configuration", STARTING_RETRY)
         val decision =
@@ -49,7 +52,7 @@
                 age = state.confirmedAge(),
                 host = request.headers.get("Host").orEmpty(),
                 path = request.target,
-                key = keyOf(request),
+                key = translation.callerKey(request),
             )
         when (decision) {
             AccessDecision.NoRoute -> {
@@ -144,19 +147,19 @@
         val now = ProcessClock.monotonic()
         call.sendings += 1
         call.tried += server.name
-        rooms.sending(server, call, now)
+        rooms.sending(server, now)
         val attempt = ServerAttempt(server = server, pool = pool, headers = headers)
         try {
             val started =
                 attempt.start(
-                    message = messageFor(call, server, now),
+                    message = translation.toServer(call, server, now),
                     requestId = call.requestId,
                     maximumIdle = if (call.route.repeatable) Duration.INFINITE else UNREPEATABLE_IDLE,
                     patience = patience(call),
                 )
             return when (started) {
                 is AttemptStart.Answering -> {
-                    deliver(call, server, attempt, started)
+                    deliver(call, attempt, started)
                 }
 
                 is AttemptStart.NotSent -> {
@@ -184,13 +187,12 @@
 
     private suspend fun deliver(
         call: Call,
-        server: BackendServer,
         attempt: ServerAttempt,
         response: AttemptStart.Answering,
     ): AttemptOutcome =
         when {
             response.status !in SUCCESS -> deliverFailure(call, attempt, response)
-            call.route.kind == RouteKind.STREAMING -> deliverStream(call, server, attempt, response)
+            call.route.kind == RouteKind.STREAMING -> deliverStream(call, attempt, response)
             else -> deliverWhole(call, attempt, response)
         }
 
@@ -225,7 +227,6 @@
 
     private suspend fun deliverStream(
         call: Call,
-        server: BackendServer,
         attempt: ServerAttempt,
         response: AttemptStart.Answering,
     ): AttemptOutcome {
@@ -374,7 +375,7 @@
             reply.headers.set(
                 "Retry-After",
                 "%.3f".format(
-                    java.util.Locale.ROOT,
+                    Locale.ROOT,
                     retryAfter.inWholeMilliseconds / 1_000.0,
                 ),
             )
@@ -429,32 +430,6 @@
         reason: String,
     ): AttemptOutcome = AttemptOutcome.Failed(FailureKind.MAY_HAVE_RUN, reason)
 
-    private fun messageFor(
-        call: Call,
-        server: BackendServer,
-        now: MonotonicTime,
-    ): HttpMessage {
-        val original = call.exchange.request
-        val forwarded = original.headers.endToEnd()
-        forwarded.remove(headers.authorisation)
-        forwarded.remove(headers.organisation)
-        call.organisation?.let { forwarded.set(headers.organisation, it) }
-        forwarded.set(headers.expectedServer, server.name.value)
-        forwarded.set(headers.remainingTime, (call.deadline - now).inWholeMilliseconds.coerceAtLeast(1).toString())
-        if (call.route.kind == RouteKind.STREAMING) {
-            forwarded.set(headers.urgency, call.priority.coerceIn(URGENCIES).toString())
-            call.cursor.lastId?.let { forwarded.set(headers.lastEvent, it.toString()) }
-        }
-        return HttpMessage(original.method, original.target, forwarded, original.body)
-    }
-
-    private fun keyOf(request: HttpMessage): String? {
-        val value = request.headers.get(headers.authorisation) ?: return null
-        val scheme = headers.authorisationScheme
-        if (!value.startsWith("$scheme ", ignoreCase = true)) return null
-        return value.substring(scheme.length + 1).trim()
-    }
-
     private fun chooseService(route: Route): ServiceName {
         var rest = random.nextDouble() * route.targets.sumOf { it.weight }
         return route.targets
@@ -476,7 +451,6 @@
         val SUCCESS = 200..299
         const val SERVER_ERRORS = 500
         val UNPROVED_STATUSES = setOf(408, 421, 429, 503)
-        val URGENCIES = 0..9
 
         /** Sendings of a request beyond those that may run it, for servers that prove that they did not run it. */
         const val EXTRA_SENDINGS = 2
--- /dev/null
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/RequestTranslation.kt
@@ -0,0 +1,42 @@
+package io.kumquattrail.forward.call
+
+import io.kumquattrail.decision.catalogue.BackendServer
+import io.kumquattrail.decision.route.RouteKind
+import io.kumquattrail.decision.time.MonotonicTime
+import io.kumquattrail.forward.http.HttpMessage
+import io.kumquattrail.forward.http.endToEnd
+
+private val URGENCIES = 0..9
+
+/** Translates between what a caller sends and what a backend server gets. The gateway alone sets its own headers. */
+internal class RequestTranslation(
+    private val headers: ForwardingHeaders,
+) {
+    /** Returns the request of [call] as [server] gets it at [now], with the time that is left. */
+    fun toServer(
+        call: Call,
+        server: BackendServer,
+        now: MonotonicTime,
+    ): HttpMessage {
+        val original = call.exchange.request
+        val forwarded = original.headers.endToEnd()
+        forwarded.remove(headers.authorisation)
+        forwarded.remove(headers.organisation)
+        call.organisation?.let { forwarded.set(headers.organisation, it) }
+        forwarded.set(headers.expectedServer, server.name.value)
+        forwarded.set(headers.remainingTime, (call.deadline - now).inWholeMilliseconds.coerceAtLeast(1).toString())
+        if (call.route.kind == RouteKind.STREAMING) {
+            forwarded.set(headers.urgency, call.priority.coerceIn(URGENCIES).toString())
+            call.cursor.lastId?.let { forwarded.set(headers.lastEvent, it.toString()) }
+        }
+        return HttpMessage(original.method, original.target, forwarded, original.body)
+    }
+
+    /** Returns the key that the caller of [request] has sent, or `null`. */
+    fun callerKey(request: HttpMessage): String? {
+        val value = request.headers.get(headers.authorisation) ?: return null
+        val scheme = headers.authorisationScheme
+        if (!value.startsWith("$scheme ", ignoreCase = true)) return null
+        return value.substring(scheme.length + 1).trim()
+    }
+}
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/RoomFinder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/RoomFinder.kt
@@ -93,10 +93,9 @@
         }
     }
 
-    /** Records that [call] is sent to [server]. */
+    /** Records that a call is sent to [server]. */
     fun sending(
         server: BackendServer,
-        call: Call,
         now: MonotonicTime,
     ) {
         state.loads.started(server.name)
--- a/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
@@ -158,7 +158,7 @@
             while (true) {
                 delay(STOP_POLL)
                 val spent = ProcessClock.monotonic() - began
-                state.isLeft = spent > LEAVE_ROTATION
+                state.refusesNewRequests = spent > LEAVE_ROTATION
                 val quiet = spent > LEAVE_ROTATION && callers.requestsInProgress == 0
                 if (quiet || spent > settings.shutdownTime) break
             }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/process/GatewayState.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/process/GatewayState.kt
@@ -43,7 +43,7 @@
     var isStopping = false
 
     /** Whether the process is so close to its end that new requests are refused. */
-    var isLeft = false
+    var refusesNewRequests = false
 
     /** Called when a change of the state may have made room for waiting requests. */
     var onChange: () -> Unit = {}
