--- a/decision/src/main/kotlin/io/kumquattrail/decision/catalogue/BackendServer.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/catalogue/BackendServer.kt
@@ -12,7 +12,6 @@
  * @property slots requests that the server works on at once.
  * @property draining whether the server has said that it is leaving.
  * @property coldUntil time until which the server says that it is cold, on this process's clock.
- * @property startedAtMilliseconds start of the server's present run, in Unix milliseconds; `null` when not published.
  */
 data class BackendServer(
     val name: ServerName,
@@ -23,5 +22,4 @@
     val slots: Int,
     val draining: Boolean = false,
     val coldUntil: MonotonicTime = MonotonicTime(Long.MIN_VALUE),
-    val startedAtMilliseconds: Long? = null,
 )
--- a/decision/src/main/kotlin/io/kumquattrail/decision/catalogue/ServerCatalogue.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/catalogue/ServerCatalogue.kt
@@ -94,10 +94,6 @@
     /** Returns the servers of [service] that may be given work. */
     fun usable(service: ServiceName): List<BackendServer> = byService[service] ?: emptyList()
 
-    /** Tells whether [name] may be given work. */
-    fun isUsable(name: ServerName): Boolean =
-        registered[name]?.let { server -> usable(server.service).any { it.name == name } } ?: false
-
     private fun rebuild() {
         byService =
             registered.values
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -4,7 +4,6 @@
 import io.kumquattrail.decision.delivery.EventStreamCursor
 import io.kumquattrail.decision.delivery.StreamEvent
 import io.kumquattrail.decision.identity.ServiceName
-import io.kumquattrail.decision.placement.PlacementDecision
 import io.kumquattrail.decision.route.AccessDecision
 import io.kumquattrail.decision.route.AccessPolicy
 import io.kumquattrail.decision.route.Route
@@ -19,7 +18,6 @@
 import io.kumquattrail.forward.http.endToEnd
 import io.kumquattrail.forward.process.GatewayState
 import io.kumquattrail.forward.process.ProcessClock
-import io.netty.handler.codec.http.DefaultHttpHeaders
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.Locale
 import kotlin.random.Random
@@ -232,7 +230,7 @@
     ): AttemptOutcome {
         call.cursor.nextRun()
         while (true) {
-            when (val part = attempt.next(streamPatience(call))) {
+            when (val part = attempt.next(call.deadline - ProcessClock.monotonic())) {
                 is ResponsePart.Body -> {
                     val fault = passOn(call, response, part.bytes)
                     if (fault != null) return broken(call, fault)
@@ -445,10 +443,7 @@
         return if (another) minOf(left, call.route.latencyTarget * SILENCE_IN_TARGETS + SILENCE_ALLOWANCE) else left
     }
 
-    private fun streamPatience(call: Call): Duration = call.deadline - ProcessClock.monotonic()
-
     private companion object {
-        val SUCCESS = 200..299
         const val SERVER_ERRORS = 500
         val UNPROVED_STATUSES = setOf(408, 421, 429, 503)
 
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/RoomFinder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/RoomFinder.kt
@@ -1,7 +1,6 @@
 package io.kumquattrail.forward.call
 
 import io.kumquattrail.decision.catalogue.BackendServer
-import io.kumquattrail.decision.identity.ServerName
 import io.kumquattrail.decision.identity.ServiceName
 import io.kumquattrail.decision.limit.RetryBudget
 import io.kumquattrail.decision.placement.ColdRateLimit
@@ -10,7 +9,6 @@
 import io.kumquattrail.decision.placement.WaitingDecision
 import io.kumquattrail.decision.placement.WaitingLine
 import io.kumquattrail.decision.placement.WaitingRequest
-import io.kumquattrail.decision.route.RouteKind
 import io.kumquattrail.decision.time.MonotonicTime
 import io.kumquattrail.forward.process.GatewayState
 import io.kumquattrail.forward.process.ProcessClock
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/ServerAttempt.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/ServerAttempt.kt
@@ -49,7 +49,9 @@
 }
 
 private const val MISDIRECTED = 421
-private val SUCCESS = 200..299
+
+/** Statuses of a successful response. */
+internal val SUCCESS = 200..299
 
 /**
  * One attempt to run a request on one server.
--- a/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
@@ -4,6 +4,7 @@
 import io.kumquattrail.decision.expert.replica.ChoiceCounter
 import io.kumquattrail.decision.expert.replica.MapSwitch
 import io.kumquattrail.decision.expert.replica.MapSwitchPhase
+import io.kumquattrail.decision.expert.replica.MapSwitchSettings
 import io.kumquattrail.decision.expert.replica.PaceWatch
 import io.kumquattrail.decision.expert.replica.RankState
 import io.kumquattrail.decision.expert.replica.ReplicaLimits
@@ -48,6 +49,7 @@
 ) {
     private val planning =
         Executors.newSingleThreadExecutor { Thread(it, "planning").apply { isDaemon = true } }.asCoroutineDispatcher()
+    private val switchSettings = MapSwitchSettings()
     private val groups = HashMap<ServiceName, GroupView>()
     private var fence = 0L
     private var leadsSince: MonotonicTime? = null
@@ -111,8 +113,7 @@
         val isSilent = !view.pace.isObserved && now - view.lookedAt >= SILENT_INTERVAL && hasWork(servers)
         if (!slowed && !isDue && !isSilent) return
         view.lookedAt = now
-        val first = view.ranks.first()
-        val report = control.state(first.server) ?: return view.forget()
+        val report = control.state(view.ranks.first()) ?: return view.forget()
         if (report.epoch != view.epoch || !report.isOpen) return view.forget()
         if (report.heldPass != null) return takeOver(service, view)
         if (isSilent) return
@@ -154,7 +155,7 @@
         val open = states.filter { it.isOpen && it.epoch == newest }
         val size = open.firstOrNull()?.size ?: return false
         val ordered = open.sortedBy { it.rank }
-        if (ordered.map { it.rank } != (0 until size).toList() || ordered.distinctBy { it.epoch }.size != 1) {
+        if (ordered.map { it.rank } != (0 until size).toList()) {
             state.log.log("group_incomplete", "service" to service, "ranks" to open.size, "size" to size)
             return false
         }
@@ -162,7 +163,7 @@
         val members = ordered.mapNotNull { byName[it.server] }
         val holdings = coroutineScope { members.map { async { control.holdings(it) } }.awaitAll() }.filterNotNull()
         if (holdings.size != size || holdings.distinctBy { it.mapVersion }.size != 1) return false
-        view.ranks = members.mapIndexed { index, server -> Rank(index, server) }
+        view.ranks = members
         view.epoch = ordered.first().epoch
         view.map =
             ReplicaMap(
@@ -191,7 +192,7 @@
     ) {
         val step = maxOf(1, view.ranks.size / SAMPLED_RANKS)
         val sampled = view.ranks.filterIndexed { index, _ -> index % step == 0 }
-        val readings = coroutineScope { sampled.map { async { control.choices(it.server, figures) } }.awaitAll() }
+        val readings = coroutineScope { sampled.map { async { control.choices(it, figures) } }.awaitAll() }
         val now = ProcessClock.monotonic()
         readings.filterNotNull().forEach { view.counter.read(it, now) }
     }
@@ -217,16 +218,17 @@
             state.log.log("map_kept", "service" to service, "imbalance" to rounded(before), "planned" to rounded(after))
             return false
         }
+        val copies = planned.copiesAfter(map)
         state.log.log(
             "map_planned",
             "service" to service,
             "imbalance" to rounded(before),
             "planned" to rounded(after),
-            "copies" to planned.copiesAfter(map).sum(),
+            "copies" to copies.sum(),
             "evidence" to view.counter.evidence.toLong(),
             "planning_ms" to (ProcessClock.monotonic() - began).inWholeMilliseconds,
         )
-        change(service, view, planned, copyTime = figures.copyTime * planned.copiesAfter(map).max())
+        change(service, view, planned, copyTime = figures.copyTime * copies.max())
         return true
     }
 
@@ -236,13 +238,13 @@
         planned: ReplicaMap,
         copyTime: Duration,
     ) {
-        val states = states(view.ranks.map { it.server }).sortedBy { it.rank }
+        val states = states(view.ranks).sortedBy { it.rank }
         if (states.size != view.ranks.size || states.any { it.epoch != view.epoch }) return view.forget()
         view.highestVersion = maxOf(view.highestVersion, states.maxOf { maxOf(it.mapVersion, it.preparedVersion ?: 0) })
         // Two processes that begin at once must not give two maps one version.
         val version = view.highestVersion + 1 + random.nextInt(VERSION_SPREAD)
         view.highestVersion = version
-        val switch = MapSwitch.begin(states = states, version = version, map = planned, now = ProcessClock.monotonic())
+        val switch = MapSwitch.begin(states, version, planned, ProcessClock.monotonic(), switchSettings)
         run(service, view, switch, version, copyTime)
         if (switch.phase == MapSwitchPhase.DONE) view.map = planned else view.forget()
     }
@@ -252,10 +254,10 @@
         view: GroupView,
     ) {
         // Reports lag; what the other process ordered last shows after this time.
-        delay(REPORT_LAG)
-        val states = states(view.ranks.map { it.server }).sortedBy { it.rank }
+        delay(switchSettings.reportLag)
+        val states = states(view.ranks).sortedBy { it.rank }
         if (states.size != view.ranks.size) return view.forget()
-        val switch = MapSwitch.takeOver(states, ProcessClock.monotonic()) ?: return
+        val switch = MapSwitch.takeOver(states, ProcessClock.monotonic(), switchSettings) ?: return
         state.log.log(
             "map_switch_taken_over",
             "service" to service,
@@ -282,7 +284,7 @@
             while (!switch.isOver && ProcessClock.monotonic() - began < LONGEST_SWITCH) {
                 switch.due(ProcessClock.monotonic()).forEach { due ->
                     launch {
-                        val server = view.ranks[due.rank].server
+                        val server = view.ranks[due.rank]
                         val number = if (due.takesBack) fence + 1 else fence
                         val answer = control.order(server, due.order, view.epoch, number)
                         switch.answered(due.rank, due.order, answer, ProcessClock.monotonic())
@@ -294,7 +296,7 @@
                 }
                 delay(STEP_POLL)
                 if (switch.awaitsReport) {
-                    switch.reported(states(view.ranks.map { it.server }), ProcessClock.monotonic())
+                    switch.reported(states(view.ranks), ProcessClock.monotonic())
                     delay(REPORT_POLL)
                 }
                 if (switch.awaitsCopies) {
@@ -324,18 +326,13 @@
     ) = coroutineScope {
         switch.copying.forEach { rank ->
             launch {
-                if (control.holdings(view.ranks[rank].server)?.preparedVersion == version) switch.copied(rank)
+                if (control.holdings(view.ranks[rank])?.preparedVersion == version) switch.copied(rank)
             }
         }
     }
 
-    private class Rank(
-        val index: Int,
-        val server: BackendServer,
-    )
-
     private class GroupView {
-        var ranks: List<Rank> = emptyList()
+        var ranks: List<BackendServer> = emptyList()
         var epoch = 0L
         var map: ReplicaMap? = null
         var highestVersion = 0L
@@ -343,8 +340,7 @@
         val counter = ChoiceCounter()
         val pace = PaceWatch()
 
-        val isStale: Boolean get() =
-            map == null
+        val isStale: Boolean get() = map == null
 
         fun forget() {
             map = null
@@ -404,9 +400,6 @@
         /** Interval between steps of a switch; a held group waits for it. */
         val STEP_POLL = 3.milliseconds
 
-        /** Reports of ranks lag by this much at most. */
-        val REPORT_LAG = 350.milliseconds
-
         /** A switch that takes longer has lost its ranks; the next look finds what it left. */
         val LONGEST_SWITCH = 15.seconds
     }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/http/HttpListener.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/http/HttpListener.kt
@@ -2,7 +2,6 @@
 
 import io.kumquattrail.forward.process.ProcessClock
 import io.netty.bootstrap.ServerBootstrap
-import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
@@ -25,42 +24,30 @@
     private val group: EventLoopGroup,
     private val state: CallerListenerState,
 ) {
-    private var channel: Channel? = null
-
-    /** Port that is bound; 0 before [bind]. */
-    val port: Int get() = (channel?.localAddress() as? InetSocketAddress)?.port ?: 0
-
     /** Binds [address] and accepts connections from then on; throws when the address cannot be bound. */
     fun bind(address: NetworkAddress) {
-        channel =
-            ServerBootstrap()
-                .group(group)
-                .channel(NioServerSocketChannel::class.java)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(
-                    object : ChannelInitializer<SocketChannel>() {
-                        override fun initChannel(channel: SocketChannel) {
-                            channel.pipeline().addLast(
-                                HttpRequestDecoder(MAXIMUM_LINE_BYTES, MAXIMUM_HEAD_BYTES, MAXIMUM_CHUNK_BYTES),
-                                HttpResponseEncoder(),
-                                CallerConnection(state),
-                            )
-                        }
-                    },
-                ).bind(InetSocketAddress(address.host, address.port))
-                .sync()
-                .channel()
+        ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                object : ChannelInitializer<SocketChannel>() {
+                    override fun initChannel(channel: SocketChannel) {
+                        channel.pipeline().addLast(
+                            HttpRequestDecoder(MAXIMUM_LINE_BYTES, MAXIMUM_HEAD_BYTES, MAXIMUM_CHUNK_BYTES),
+                            HttpResponseEncoder(),
+                            CallerConnection(state),
+                        )
+                    }
+                },
+            ).bind(InetSocketAddress(address.host, address.port))
+            .sync()
         val interval = CALLER_EXPIRY_INTERVAL.inWholeMilliseconds
         group.next().scheduleWithFixedDelay(::closeExpired, interval, interval, TimeUnit.MILLISECONDS)
     }
 
-    /** Stops accepting connections. */
-    fun stopAccepting() {
-        channel?.close()
-    }
-
     private fun closeExpired() {
         val now = ProcessClock.monotonic()
         val limits = state.limits()
--- a/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnection.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnection.kt
@@ -71,10 +71,6 @@
     private var skipped = 0
     private var inBody = false
 
-    /** Number of requests that were sent on this connection. */
-    var requests: Int = 0
-        private set
-
     /** Time at which the last response was complete. */
     var idleSince: MonotonicTime = ProcessClock.monotonic()
         private set
@@ -97,7 +93,6 @@
         expectedId = requestId
         keepOpen = false
         skipped = 0
-        requests += 1
         writeComplete = false
         val request =
             DefaultFullHttpRequest(
--- a/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnectionPool.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnectionPool.kt
@@ -51,10 +51,6 @@
 ) {
     private val idle = HashMap<NetworkAddress, ArrayDeque<ServerConnection>>()
 
-    /** Number of connections that were opened. */
-    var opened: Long = 0
-        private set
-
     /**
      * Returns a connection to [address], or `null` when none could be opened within [connectTimeout].
      *
@@ -139,7 +135,6 @@
                         }
                     },
                 ).connect(InetSocketAddress(address.host, address.port))
-        opened += 1
         return suspendCancellableCoroutine { continuation ->
             future.addListener { result -> continuation.resume(if (result.isSuccess) connection else null) }
             continuation.invokeOnCancellation { future.channel().close() }
