Fill the histograms of waiting and first byte for every kind of request

Cause: the waiting histogram was registered and never observed, and the first byte was measured for streams only, while OPERATIONS names both for every kind. Found by reading; the new spec failed before and passes after.

--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -114,6 +114,7 @@
                 true
             }
         if (finished == null) timedOut(call)
+        metrics.waiting.labelValues(route.kind.name).observe(call.waited.inWholeMilliseconds / 1_000.0)
     }
 
     private suspend fun attempts(call: Call) {
@@ -202,6 +203,7 @@
         var reason = ""
         val body = attempt.readBody { reason = it } ?: return broken(call, reason)
         call.exchange.respond(HttpReply(response.status, response.headers.endToEnd(), body))
+        firstByte(call)
         return AttemptOutcome.Finished(response.status)
     }
 
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/GatewaySpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/GatewaySpec.kt
@@ -97,6 +97,7 @@
 ) : AutoCloseable {
     private val callerPort = freePort()
     private val logged = ByteArrayOutputStream()
+    private val metricsPort = freePort()
     val gateway =
         Gateway(
             settings =
@@ -105,6 +106,7 @@
                     zone = ZoneName("a"),
                     callerAddress = NetworkAddress("127.0.0.1", callerPort),
                     readinessAddress = NetworkAddress("127.0.0.1", freePort()),
+                    metricsPort = metricsPort,
                     seeds = emptyList(),
                     keyTrust = 3.seconds,
                     shutdownTime = 3.seconds,
@@ -144,6 +146,12 @@
 
     fun connect() = Socket("127.0.0.1", callerPort).apply { soTimeout = 5_000 }
 
+    fun metrics(): String =
+        Socket("127.0.0.1", metricsPort).use {
+            it.send("GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            it.untilEnd()
+        }
+
     fun log(): String {
         Thread.sleep(100)
         return logged.toString()
@@ -435,6 +443,22 @@
             }
         }
 
+        describe("the metrics") {
+            it("count an answered request and measure its waiting and its first byte, whatever its kind") {
+                val server = ScriptedServer { request, socket -> socket.send(response(request, "done")).let { true } }
+                serving(server) { fixture ->
+                    fixture.connect().use {
+                        it.ask("/safe/x")
+                        it.answer()
+                    }
+                    val text = fixture.metrics()
+                    text shouldContain "kumquattrail_forward_requests_total{kind=\"SAFE\",outcome=\"answered_200\"} 1.0"
+                    text shouldContain "kumquattrail_forward_waiting_seconds_count{kind=\"SAFE\"} 1"
+                    text shouldContain "kumquattrail_forward_first_byte_seconds_count{kind=\"SAFE\"} 1"
+                }
+            }
+        }
+
         describe("the log") {
             it("has one line for each decision on a request, with its id and what decided it") {
                 val server = ScriptedServer { request, socket -> socket.send(response(request, "done")).let { true } }
