Split the allowance of repeats by the gateways known now

Cause: RoomFinder fixed its part of budget_extra when it first saw a service, before any peer had answered. Twelve gateways then allowed 168 repeats of 112 (RoomFinderSpec fails with 168). The part now follows the number of gateways at each repeat, and the seeds in the settings count from the start, so that gateways which never reach each other stay within it too.

A stopping peer was forgotten and logged as alive at each of its messages; it is logged once as stopping (PeerExchangeSpec fails with three peer_alive lines).

--- a/decision/src/main/kotlin/io/kumquattrail/decision/limit/RetryBudget.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/limit/RetryBudget.kt
@@ -28,8 +28,15 @@
         slotAt(now).fresh += 1
     }
 
-    /** Tells whether one more attempt is within the budget, and counts it if so. */
-    fun tryRetry(now: MonotonicTime): Boolean {
+    /**
+     * Tells whether one more attempt is within the budget, and counts it if so.
+     *
+     * @param leastRetries as the property, for an allowance that changes with the number of gateways.
+     */
+    fun tryRetry(
+        now: MonotonicTime,
+        leastRetries: Int = this.leastRetries,
+    ): Boolean {
         val current = slotAt(now)
         val counted = slots.filter { it.index > current.index - SLOTS }
         val allowed = maxOf(leastRetries.toDouble(), retryShare * counted.sumOf { it.fresh })
--- a/decision/src/main/kotlin/io/kumquattrail/decision/placement/SharedAllowance.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/placement/SharedAllowance.kt
@@ -12,12 +12,15 @@
  * Splits an allowance that holds for all processes together by their number.
  *
  * Processes do not agree on the split. Each takes its part of the largest number of processes that it has seen within
- * [memory], so a wrong view errs on the small side, except in a process that has just started in a larger fleet.
+ * [memory], and of [leastProcesses], which it knows from its settings at the start. A wrong view so errs on the small
+ * side, except in a process that has just started in a fleet larger than its settings tell.
  */
 class SharedAllowance(
     private val memory: Duration = 60.seconds,
+    leastProcesses: Int = LEAST_PROCESSES,
 ) {
-    private var most = LEAST_PROCESSES
+    private val least = maxOf(leastProcesses, LEAST_PROCESSES)
+    private var most = least
     private var mostSeenAt = MonotonicTime(Long.MIN_VALUE)
 
     /** Number of processes by which allowances are divided. */
@@ -28,7 +31,7 @@
         processes: Int,
         now: MonotonicTime,
     ) {
-        val present = maxOf(processes, LEAST_PROCESSES)
+        val present = maxOf(processes, least)
         val forgotten = mostSeenAt.nanoseconds == Long.MIN_VALUE || now - mostSeenAt > memory
         if (present >= most || forgotten) {
             most = present
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/RoomFinder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/RoomFinder.kt
@@ -134,10 +134,18 @@
     }
 
     /** Tells whether [call] may be sent to a server once more within the retry budget, and counts it if so. */
-    fun mayRepeat(call: Call): Boolean {
-        val line = line(call.service)
-        return line.budget.tryRetry(ProcessClock.monotonic())
-    }
+    fun mayRepeat(call: Call): Boolean = mayRepeat(call.service, ProcessClock.monotonic())
+
+    /** As [mayRepeat] of a call of [service] at [now]. */
+    fun mayRepeat(
+        service: ServiceName,
+        now: MonotonicTime,
+    ): Boolean =
+        line(service).budget.tryRetry(
+            now = now,
+            // Other processes appear after the service's first request; a part fixed then would exceed the total.
+            leastRetries = state.allowance.partOf(limits.retryExtra).toInt(),
+        )
 
     /** Serves calls that wait for reasons that pass with time. */
     fun serveAll() = lines.values.toList().forEach(::serve)
@@ -217,7 +225,6 @@
                     RetryBudget(
                         retryShare = limits.retryRatio * BUDGET_MARGIN,
                         window = limits.retryWindow,
-                        leastRetries = state.allowance.partOf(limits.retryExtra).toInt(),
                     ),
             )
         }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerExchange.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerExchange.kt
@@ -113,13 +113,15 @@
         state.publish(configuration, source = "peer $address")
     }
 
-    private fun received(message: PeerMessage) {
+    /** Takes in what a peer says. */
+    fun received(message: PeerMessage) {
         if (message.process == state.process) return
         val now = ProcessClock.monotonic()
-        if (heard.put(message.process, now)?.let { now - it < ALIVE_FOR } != true) {
+        if (message.stopping) {
+            if (heard.remove(message.process) != null) state.log.log("peer_stopping", "peer" to message.process)
+        } else if (heard.put(message.process, now)?.let { now - it < ALIVE_FOR } != true) {
             state.log.log("peer_alive", "peer" to message.process, "known" to heard.size)
         }
-        if (message.stopping) heard.remove(message.process)
         message.members.forEach { hearsay[it] = now }
         state.loads.peerReported(message.process, message.inProgress, now)
         state.allowance.seen(alive(now).size + 1, now)
--- a/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
@@ -88,7 +88,13 @@
     private val serverPool = ServerConnectionPool(eventLoop, requestIdHeader = headers.requestId)
 
     /** Everything that the gateway knows. */
-    val state = GatewayState(process = settings.process, zone = settings.zone, log = log)
+    val state =
+        GatewayState(
+            process = settings.process,
+            zone = settings.zone,
+            log = log,
+            leastProcesses = (settings.seeds.toSet() + settings.process).size,
+        )
 
     /** Makes short calls over connections of its own. */
     val caller = HttpCaller(ServerConnectionPool(eventLoop))
--- a/forward/src/main/kotlin/io/kumquattrail/forward/process/GatewayState.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/process/GatewayState.kt
@@ -13,11 +13,16 @@
 import io.kumquattrail.forward.log.EventLog
 import kotlin.time.Duration
 
-/** Everything that a gateway knows. It is used on the event loop only. */
+/**
+ * Everything that a gateway knows. It is used on the event loop only.
+ *
+ * @param leastProcesses gateways that the settings name, this one included.
+ */
 class GatewayState(
     val process: ProcessName,
     val zone: ZoneName,
     val log: EventLog,
+    leastProcesses: Int = 1,
 ) {
     /** Configuration in effect; `null` until one is known. */
     var configuration: RoutingConfiguration? = null
@@ -30,7 +35,7 @@
     val loads = LoadTable()
 
     /** Split of the allowances of all processes. */
-    val allowance = SharedAllowance()
+    val allowance = SharedAllowance(leastProcesses = leastProcesses)
 
     /** Time since configuration and evacuations were confirmed to be the newest. */
     val confirmation = ConfirmationClock()
