Meet peers in turn, so that larger fleets keep all of them in view

Cause: a round reached six peers drawn at random, and a peer silent for 1.5 s counted as gone. PeerTableSpec with the old drawing: 55 lost in 60 s at twelve gateways, 76,433 at 80, and a returned gateway not found within 2 s.

PeerTable (decision) prefers the peers heard from the longest ago, keeps two partners of a round for processes that are not heard from, and scales the silence with the rounds that meet all.

--- a/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerExchange.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerExchange.kt
@@ -1,6 +1,7 @@
 package io.kumquattrail.forward.peer
 
 import io.kumquattrail.decision.identity.ProcessName
+import io.kumquattrail.decision.peer.PeerTable
 import io.kumquattrail.decision.route.RoutingConfiguration
 import io.kumquattrail.decision.time.MonotonicTime
 import io.kumquattrail.forward.http.CallResult
@@ -16,7 +17,6 @@
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlin.random.Random
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -27,30 +27,29 @@
  * Exchanges state with the other gateways: who lives, requests in progress, and the configuration when the service that
  * publishes it is out of reach.
  *
- * @property seeds addresses of gateways to begin with; some may be gone.
+ * @param seeds addresses of gateways to begin with; some may be gone.
  * @property decodeConfiguration reads a configuration document; returns `null` when it is not valid.
  */
 class PeerExchange(
     private val state: GatewayState,
     private val caller: HttpCaller,
-    private val seeds: List<ProcessName>,
+    seeds: List<ProcessName>,
     private val decodeConfiguration: (ByteArray) -> RoutingConfiguration?,
     private val random: Random = Random.Default,
 ) {
-    private val heard = HashMap<ProcessName, MonotonicTime>()
-    private val hearsay = HashMap<ProcessName, MonotonicTime>()
+    private val table = PeerTable(own = state.process, seeds = seeds, interval = INTERVAL)
 
     /** The document of the configuration in effect, as published; `null` until one is known. */
     var configurationDocument: ByteArray? = null
 
     /** Processes that were heard from a moment ago, without this one. */
-    fun alive(now: MonotonicTime): List<ProcessName> = heard.filterValues { now - it < ALIVE_FOR }.keys.toList()
+    fun alive(now: MonotonicTime): List<ProcessName> = table.alive(now)
 
     /** Exchanges state with peers until [scope] ends. */
     fun start(scope: CoroutineScope) {
         scope.launch {
             while (isActive) {
-                partners().forEach { peer -> scope.launch { exchangeWith(peer) } }
+                table.partners(ProcessClock.monotonic(), random).forEach { peer -> scope.launch { exchangeWith(peer) } }
                 delay(INTERVAL)
             }
         }
@@ -77,13 +76,6 @@
         }
     }
 
-    private fun partners(): List<ProcessName> {
-        val now = ProcessClock.monotonic()
-        hearsay.values.removeAll { now - it > HEARSAY_FOR }
-        val known = (alive(now) + seeds + hearsay.keys).toSet() - state.process
-        return known.shuffled(random).take(PARTNERS)
-    }
-
     private suspend fun exchangeWith(peer: ProcessName) {
         val address = NetworkAddress.parse(peer.value) ?: return
         val sentAt = ProcessClock.monotonic()
@@ -118,19 +110,15 @@
         if (message.process == state.process) return
         val now = ProcessClock.monotonic()
         if (message.stopping) {
-            if (heard.remove(message.process) != null) state.log.log("peer_stopping", "peer" to message.process)
-        } else if (heard.put(message.process, now)?.let { now - it < ALIVE_FOR } != true) {
-            state.log.log("peer_alive", "peer" to message.process, "known" to heard.size)
+            if (table.stopping(message.process)) state.log.log("peer_stopping", "peer" to message.process)
+        } else if (table.heard(message.process, message.members, now)) {
+            state.log.log("peer_alive", "peer" to message.process, "known" to alive(now).size)
         }
-        message.members.forEach { hearsay[it] = now }
         state.loads.peerReported(message.process, message.inProgress, now)
         state.allowance.seen(alive(now).size + 1, now)
-        heard.entries
-            .filter { now - it.value >= ALIVE_FOR }
-            .forEach { (peer, since) ->
-                heard.remove(peer)
-                state.log.log("peer_lost", "peer" to peer, "silent_ms" to (now - since).inWholeMilliseconds)
-            }
+        table.removeLost(now).forEach { (peer, since) ->
+            state.log.log("peer_lost", "peer" to peer, "silent_ms" to (now - since).inWholeMilliseconds)
+        }
     }
 
     private fun ownMessage(): PeerMessage =
@@ -148,9 +136,6 @@
         const val BAD_REQUEST = 400
         const val NOT_FOUND = 404
 
-        /** Peers that one round reaches; bounds messages in large fleets. */
-        const val PARTNERS = 6
-
         /** Time between rounds. Each pair of few processes meets twice a round; a request in progress lasts a second. */
         val INTERVAL = 400.milliseconds
 
@@ -159,11 +144,5 @@
 
         /** A configuration document has up to a megabyte. */
         val DOCUMENT_TIMEOUT = 1.seconds
-
-        /** Silence after which a peer counts as gone: three missed rounds and a lost packet. */
-        val ALIVE_FOR = 1_500.milliseconds
-
-        /** Time for which processes are called that only others have heard from. */
-        val HEARSAY_FOR: Duration = 5.seconds
     }
 }
