Find a bad expert map sooner after a gateway takes over

The log shows the look right after the survey with too few choices to judge, then nothing until the regular look 4 s later. Three causes: - a look without evidence counted as "in order" and made the slow pace the reference; - the first pace that a new keeper saw became its reference, also when the group was slow; - the maps went to whichever gateway had the lowest name, also one that could not serve yet. Ruled out: ranks that refuse orders, and a slow survey (0.1 s).

A look that shows too little is repeated after 250 ms on the same counts; a pace that callers are not served well at is no reference; the survey reads the counts, so that the first look can plan. MapLeadership (decision): the gateway that keeps the maps goes on while it lives and can serve. Logged as map_role and map_undecided. request_attempt names the longest pause between events and when it ended, which is what late streams are late by.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/PaceWatch.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/PaceWatch.kt
@@ -59,10 +59,11 @@
     ): Boolean {
         val present = present(now) ?: return false
         if (now < settlesAt) return false
-        val known = reference
-        if (known == null || present < known) reference = present
-        // Without a reference, a group that does not satisfy its callers is worth a look.
-        return present > tolerated && (known == null || present > known * slowdown)
+        // Without a reference, a group that does not satisfy its callers is worth a look, and its pace is no reference: a
+        // process that begins to watch after a shift would take the slow pace for the usual one.
+        val known = reference ?: present.takeIf { it <= tolerated } ?: return true
+        reference = minOf(known, present)
+        return present > tolerated && present > known * slowdown
     }
 
     private fun present(now: MonotonicTime): Duration? {
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/Call.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/Call.kt
@@ -41,6 +41,12 @@
     /** Time of the last event of the stream; `null` before the first. */
     var lastEventAt: MonotonicTime? = null
 
+    /** Longest pause between two events of the stream so far. */
+    var longestPause: Duration = Duration.ZERO
+
+    /** Time of the event that ended the longest pause. */
+    var longestPauseEndedAt: MonotonicTime = exchange.arrived
+
     /** Time for which the request waited for room. */
     var waited: Duration = Duration.ZERO
 }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -290,7 +290,13 @@
 
     private fun observePause(call: Call) {
         val now = ProcessClock.monotonic()
-        call.lastEventAt?.let { onPause(call.service, now - it, now) }
+        call.lastEventAt?.let { last ->
+            onPause(call.service, now - last, now)
+            if (now - last > call.longestPause) {
+                call.longestPause = now - last
+                call.longestPauseEndedAt = now
+            }
+        }
         call.lastEventAt = now
     }
 
@@ -413,6 +419,8 @@
             "waited_ms" to call.waited.inWholeMilliseconds,
             "total_ms" to (ProcessClock.monotonic() - call.exchange.arrived).inWholeMilliseconds,
             "events" to call.cursor.delivered.takeIf { it > 0 },
+            "longest_pause_ms" to call.longestPause.inWholeMilliseconds.takeIf { it > 0 },
+            "pause_ended_ms" to (call.longestPauseEndedAt - call.exchange.arrived).inWholeMilliseconds.takeIf { it > 0 },
             "status" to status,
             "failure" to failed?.kind,
             "reason" to failed?.reason,
--- a/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
@@ -2,6 +2,9 @@
 
 import io.kumquattrail.decision.catalogue.BackendServer
 import io.kumquattrail.decision.expert.replica.ChoiceCounter
+import io.kumquattrail.decision.expert.replica.MapKeeperCandidate
+import io.kumquattrail.decision.expert.replica.MapLeadership
+import io.kumquattrail.decision.expert.replica.MapRole
 import io.kumquattrail.decision.expert.replica.MapSwitch
 import io.kumquattrail.decision.expert.replica.MapSwitchPhase
 import io.kumquattrail.decision.expert.replica.MapSwitchSettings
@@ -10,7 +13,6 @@
 import io.kumquattrail.decision.expert.replica.ReplicaLimits
 import io.kumquattrail.decision.expert.replica.ReplicaMap
 import io.kumquattrail.decision.expert.replica.ReplicaPlanner
-import io.kumquattrail.decision.identity.ProcessName
 import io.kumquattrail.decision.identity.ServiceName
 import io.kumquattrail.decision.route.EngineGroupFigures
 import io.kumquattrail.decision.time.MonotonicTime
@@ -36,15 +38,14 @@
 /**
  * Keeps the expert maps of groups in line with what is popular.
  *
- * Of all gateways, the one with the lowest name does it. Two that take themselves for it, for lack of contact, are kept
- * apart by fencing numbers at the ranks.
+ * One of all gateways does it, as [MapLeadership] decides.
  *
- * @property peers returns the other gateways that live.
+ * @property peers returns the other gateways that live and can serve requests.
  */
 class GroupKeeper(
     private val state: GatewayState,
     private val control: RankControl,
-    private val peers: () -> List<ProcessName>,
+    private val peers: () -> List<MapKeeperCandidate>,
     private val random: Random = Random.Default,
 ) {
     private val planning =
@@ -52,7 +53,7 @@
     private val switchSettings = MapSwitchSettings()
     private val groups = HashMap<ServiceName, GroupView>()
     private var fence = 0L
-    private var leadsSince: MonotonicTime? = null
+    private val leadership = MapLeadership(state.process)
 
     /** Keeps maps until [scope] ends. */
     fun start(scope: CoroutineScope) {
@@ -74,21 +75,12 @@
     }
 
     private fun leads(): Boolean {
-        val now = ProcessClock.monotonic()
-        val first = state.isReady && peers().none { it < state.process }
-        val since = leadsSince
-        if (!first) {
-            if (since != null) state.log.log("maps_handed_over")
-            leadsSince = null
-            groups.clear()
-            return false
-        }
-        if (since == null) {
-            leadsSince = now
-            return false
-        }
-        // A process that has just started may not have heard of the others yet.
-        return now - since > SETTLE
+        val before = leadership.role
+        val role = leadership.decide(state.isReady, peers(), ProcessClock.monotonic())
+        state.keepsMaps = role == MapRole.KEEPS
+        if (role != before) state.log.log("map_role", "role" to role, "before" to before)
+        if (role == MapRole.FOLLOWS) groups.clear()
+        return role == MapRole.KEEPS
     }
 
     private fun services(): List<Pair<ServiceName, EngineGroupFigures>> =
@@ -105,10 +97,17 @@
         val servers = state.catalogue.servers.filter { it.service == service }
         if (servers.isEmpty()) return
         val view = groups.getOrPut(service) { GroupView() }
-        if (view.isStale && !survey(service, view, servers, figures)) return delay(SURVEY_PAUSE)
+        if (view.isStale) {
+            if (!survey(service, view, servers, figures)) return delay(SURVEY_PAUSE)
+            // The first look then sees what was chosen since, and need not wait for a sample.
+            read(view, figures)
+            view.counter.restart()
+            view.undecidedAt = ProcessClock.monotonic()
+        }
         val now = ProcessClock.monotonic()
+        if (view.undecidedAt?.let { now - it < UNDECIDED_PAUSE } == true) return
         val slowed = view.pace.hasSlowed(tolerated = toleratedPause(service), now = now)
-        val isDue = now - view.lookedAt >= LONGEST_INTERVAL && view.pace.isObserved
+        val isDue = (now - view.lookedAt >= LONGEST_INTERVAL || view.undecidedAt != null) && view.pace.isObserved
         // A held or broken group writes nothing, so silence with work in progress is worth a look, too.
         val isSilent = !view.pace.isObserved && now - view.lookedAt >= SILENT_INTERVAL && hasWork(servers)
         if (!slowed && !isDue && !isSilent) return
@@ -119,15 +118,23 @@
         if (isSilent) return
         val hadBaseline = view.counter.hasBaseline
         read(view, figures)
-        if (slowed || !hadBaseline) {
+        if (view.undecidedAt == null && (slowed || !hadBaseline)) {
             // The counts until now belong to the time before the shift, or to all the time since the ranks started.
             view.counter.restart()
             delay(SAMPLE_TIME)
             read(view, figures)
         }
-        val hasChanged = improve(service, view, figures)
+        val improvement = improve(service, view, figures)
         val lookedUntil = ProcessClock.monotonic()
-        if (hasChanged) view.pace.changed(lookedUntil) else view.pace.foundInOrder(lookedUntil)
+        view.undecidedAt = lookedUntil.takeIf { improvement == Improvement.UNDECIDED }
+        when (improvement) {
+            Improvement.CHANGED -> view.pace.changed(lookedUntil)
+
+            Improvement.NOT_NEEDED -> view.pace.foundInOrder(lookedUntil)
+
+            // What the group does now says nothing of its usual pace. The next reading adds to this one.
+            Improvement.UNDECIDED -> Unit
+        }
     }
 
     private fun hasWork(servers: List<BackendServer>): Boolean = servers.any { it.name in state.loads.ownInProgress }
@@ -199,15 +206,18 @@
 
     private fun rounded(imbalance: Double): Double = (imbalance * ROUNDING).roundToInt() / ROUNDING
 
-    /** Plans and makes a change that is worth it; tells whether there was one. */
+    /** Plans and makes a change that is worth it. */
     private suspend fun improve(
         service: ServiceName,
         view: GroupView,
         figures: EngineGroupFigures,
-    ): Boolean {
-        val map = view.map ?: return false
-        if (view.counter.evidence < LEAST_EVIDENCE) return false
-        val popularity = view.counter.popularity() ?: return false
+    ): Improvement {
+        val map = view.map ?: return Improvement.UNDECIDED
+        val popularity = view.counter.popularity()
+        if (popularity == null || view.counter.evidence < LEAST_EVIDENCE) {
+            state.log.log("map_undecided", "service" to service, "evidence" to view.counter.evidence.toLong())
+            return Improvement.UNDECIDED
+        }
         val planner =
             ReplicaPlanner(ReplicaLimits(figures.placementsPerRank, newPerSet = figures.sparePlacements))
         val began = ProcessClock.monotonic()
@@ -216,7 +226,7 @@
         val after = planned.imbalance(popularity)
         if (before - after < LEAST_GAIN) {
             state.log.log("map_kept", "service" to service, "imbalance" to rounded(before), "planned" to rounded(after))
-            return false
+            return Improvement.NOT_NEEDED
         }
         val copies = planned.copiesAfter(map)
         state.log.log(
@@ -229,7 +239,7 @@
             "planning_ms" to (ProcessClock.monotonic() - began).inWholeMilliseconds,
         )
         change(service, view, planned, copyTime = figures.copyTime * copies.max())
-        return true
+        return Improvement.CHANGED
     }
 
     private suspend fun change(
@@ -331,12 +341,23 @@
         }
     }
 
+    private enum class Improvement {
+        CHANGED,
+        NOT_NEEDED,
+
+        /** Too little was counted. */
+        UNDECIDED,
+    }
+
     private class GroupView {
         var ranks: List<BackendServer> = emptyList()
         var epoch = 0L
         var map: ReplicaMap? = null
         var highestVersion = 0L
         var lookedAt = MonotonicTime(Long.MIN_VALUE / 2)
+
+        /** Time of the last look if it showed too little to decide. */
+        var undecidedAt: MonotonicTime? = null
         val counter = ChoiceCounter()
         val pace = PaceWatch()
 
@@ -344,6 +365,7 @@
 
         fun forget() {
             map = null
+            undecidedAt = null
             counter.reset()
         }
     }
@@ -361,8 +383,8 @@
         /** Time over which choices are counted after a shift, about a pass of the slow group. */
         val SAMPLE_TIME = 120.milliseconds
 
-        /** Time for which a process must be the first of all before it acts; peers meet in less. */
-        val SETTLE = 700.milliseconds
+        /** Time after a look that showed too little; a few passes. */
+        val UNDECIDED_PAUSE = 250.milliseconds
 
         /** Ranks whose counts are read in a round. Counts read from another VM pause the group for a moment. */
         const val SAMPLED_RANKS = 4
--- a/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerExchange.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerExchange.kt
@@ -1,5 +1,6 @@
 package io.kumquattrail.forward.peer
 
+import io.kumquattrail.decision.expert.replica.MapKeeperCandidate
 import io.kumquattrail.decision.identity.ProcessName
 import io.kumquattrail.decision.peer.PeerTable
 import io.kumquattrail.decision.route.RoutingConfiguration
@@ -37,6 +38,7 @@
     private val decodeConfiguration: (ByteArray) -> RoutingConfiguration?,
     private val random: Random = Random.Default,
 ) {
+    private val last = HashMap<ProcessName, PeerMessage>()
     private val table = PeerTable(own = state.process, seeds = seeds, interval = INTERVAL)
 
     /** The document of the configuration in effect, as published; `null` until one is known. */
@@ -45,6 +47,12 @@
     /** Processes that were heard from a moment ago, without this one. */
     fun alive(now: MonotonicTime): List<ProcessName> = table.alive(now)
 
+    /** Processes that were heard from a moment ago and can serve requests, without this one. */
+    fun mapKeeperCandidates(now: MonotonicTime): List<MapKeeperCandidate> =
+        alive(now).mapNotNull { process ->
+            last[process]?.takeIf { it.ready }?.let { MapKeeperCandidate(process, it.keepsMaps) }
+        }
+
     /** Exchanges state with peers until [scope] ends. */
     fun start(scope: CoroutineScope) {
         scope.launch {
@@ -109,6 +117,7 @@
     fun received(message: PeerMessage) {
         if (message.process == state.process) return
         val now = ProcessClock.monotonic()
+        if (message.stopping) last.remove(message.process) else last[message.process] = message
         if (message.stopping) {
             if (table.stopping(message.process)) state.log.log("peer_stopping", "peer" to message.process)
         } else if (table.heard(message.process, message.members, now)) {
@@ -117,6 +126,7 @@
         state.loads.peerReported(message.process, message.inProgress, now)
         state.allowance.seen(alive(now).size + 1, now)
         table.removeLost(now).forEach { (peer, since) ->
+            last.remove(peer)
             state.log.log("peer_lost", "peer" to peer, "silent_ms" to (now - since).inWholeMilliseconds)
         }
     }
@@ -129,6 +139,8 @@
             confirmedAge = state.confirmedAge(),
             inProgress = state.loads.ownInProgress.toMap(),
             stopping = state.isStopping,
+            ready = state.isReady,
+            keepsMaps = state.keepsMaps,
         )
 
     private companion object {
--- a/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerMessage.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerMessage.kt
@@ -17,6 +17,8 @@
  * @property confirmedAge time since the sender knew its configuration to be the newest.
  * @property inProgress the sender's requests in progress at each server.
  * @property stopping whether the sender is shutting down.
+ * @property ready whether the sender can serve requests.
+ * @property keepsMaps whether the sender keeps the expert maps.
  */
 data class PeerMessage(
     val process: ProcessName,
@@ -25,6 +27,8 @@
     val confirmedAge: Duration,
     val inProgress: Map<ServerName, Int>,
     val stopping: Boolean,
+    val ready: Boolean = false,
+    val keepsMaps: Boolean = false,
 ) {
     /** Returns the message as it is sent. */
     fun encode(): ByteArray {
@@ -36,6 +40,8 @@
         val loads: ObjectNode = root.putObject("in_progress")
         inProgress.forEach { (server, count) -> loads.put(server.value, count) }
         root.put("stopping", stopping)
+        root.put("ready", ready)
+        root.put("keeps_maps", keepsMaps)
         return MAPPER.writeValueAsBytes(root)
     }
 
@@ -68,6 +74,8 @@
                             count.asInt()
                     },
                 stopping = root.path("stopping").asBoolean(false),
+                ready = root.path("ready").asBoolean(false),
+                keepsMaps = root.path("keeps_maps").asBoolean(false),
             )
         }
     }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
@@ -141,7 +141,7 @@
         callerListener.bind(settings.callerAddress)
         peers.start(scope)
         source.start(scope)
-        val keeper = GroupKeeper(state, control, peers = { peers.alive(ProcessClock.monotonic()) })
+        val keeper = GroupKeeper(state, control, peers = { peers.mapKeeperCandidates(ProcessClock.monotonic()) })
         keeper.start(scope)
         groupKeeper = keeper
         scope.launch { housekeeping() }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/process/GatewayState.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/process/GatewayState.kt
@@ -44,6 +44,9 @@
     var serversKnown = false
         private set
 
+    /** Whether the process keeps the expert maps. */
+    var keepsMaps = false
+
     /** Whether the process has begun to stop. */
     var isStopping = false
 
