--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/Call.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/Call.kt
@@ -44,8 +44,8 @@
     /** Longest pause between two events of the stream so far. */
     var longestPause: Duration = Duration.ZERO
 
-    /** Time of the event that ended the longest pause. */
-    var longestPauseEndedAt: MonotonicTime = exchange.arrived
+    /** Time from the request's arrival to the event that ended the longest pause; `null` before the second event. */
+    var longestPauseEnd: Duration? = null
 
     /** Time for which the request waited for room. */
     var waited: Duration = Duration.ZERO
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -294,7 +294,7 @@
             onPause(call.service, now - last, now)
             if (now - last > call.longestPause) {
                 call.longestPause = now - last
-                call.longestPauseEndedAt = now
+                call.longestPauseEnd = now - call.exchange.arrived
             }
         }
         call.lastEventAt = now
@@ -420,7 +420,7 @@
             "total_ms" to (ProcessClock.monotonic() - call.exchange.arrived).inWholeMilliseconds,
             "events" to call.cursor.delivered.takeIf { it > 0 },
             "longest_pause_ms" to call.longestPause.inWholeMilliseconds.takeIf { it > 0 },
-            "pause_ended_ms" to (call.longestPauseEndedAt - call.exchange.arrived).inWholeMilliseconds.takeIf { it > 0 },
+            "pause_ended_ms" to call.longestPauseEnd?.inWholeMilliseconds,
             "status" to status,
             "failure" to failed?.kind,
             "reason" to failed?.reason,
