Hold prompts back while a shift of popularity slows all streams

A log of every pass shows why: passes take 45 to 60 ms, 93 to 106 ms right after a shift and 115 to 150 ms just before the map has followed, half a second later, as prompts go on arriving and ranks copy experts. Callers accept pauses of 120 ms, and every stream in progress meets the longest pass. Ruled out: a slow gateway or rank (all are alike), the hold of the group (some milliseconds, but for lost orders), popularity that returns (each shift lies as far from all earlier ones as from the last, half of the choices), one copy a rank and change (no difference beyond noise).

PromptHold (decision) notices the slow passes on the gateway's own streams; new prompts then wait for the new map, for half of their latency target at most, and start spread over two passes.

--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -4,6 +4,7 @@
 import io.kumquattrail.decision.delivery.EventStreamCursor
 import io.kumquattrail.decision.delivery.StreamEvent
 import io.kumquattrail.decision.identity.ServiceName
+import io.kumquattrail.decision.placement.PromptHold
 import io.kumquattrail.decision.route.AccessDecision
 import io.kumquattrail.decision.route.AccessPolicy
 import io.kumquattrail.decision.route.Route
@@ -18,6 +19,7 @@
 import io.kumquattrail.forward.http.endToEnd
 import io.kumquattrail.forward.process.GatewayState
 import io.kumquattrail.forward.process.ProcessClock
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.Locale
 import kotlin.random.Random
@@ -37,6 +39,7 @@
     private val random: Random = Random.Default,
 ) : CallerRequestHandler {
     private val translation = RequestTranslation(headers)
+    private val promptHolds = HashMap<ServiceName, PromptHold>()
 
     override suspend fun handle(exchange: CallerExchange) {
         val request = exchange.request
@@ -118,6 +121,7 @@
     }
 
     private suspend fun attempts(call: Call) {
+        holdPrompt(call)
         while (true) {
             val room = rooms.find(call, random)
             when (room) {
@@ -288,10 +292,25 @@
         return null
     }
 
+    /** Keeps a prompt back while the streams of its service are slowed by a shift. */
+    private suspend fun holdPrompt(call: Call) {
+        val hold = promptHolds[call.service]?.takeIf { call.route.gapTarget != null } ?: return
+        val began = ProcessClock.monotonic()
+        val spread = random.nextDouble()
+        while (true) {
+            val left = hold.holdFor(began, ProcessClock.monotonic(), call.route.latencyTarget * SPARE_SHARE, spread)
+            if (!left.isPositive()) break
+            delay(minOf(left, HOLD_POLL))
+        }
+        call.waited += ProcessClock.monotonic() - began
+    }
+
     private fun observePause(call: Call) {
         val now = ProcessClock.monotonic()
         call.lastEventAt?.let { last ->
             onPause(call.service, now - last, now)
+            val tolerated = (call.route.gapTarget ?: Duration.ZERO) * TOLERATED_SHARE
+            promptHolds.getOrPut(call.service) { PromptHold() }.observed(now - last, tolerated, now)
             if (now - last > call.longestPause) {
                 call.longestPause = now - last
                 call.longestPauseEnd = now - call.exchange.arrived
@@ -454,6 +473,15 @@
     }
 
     private companion object {
+        /** Interval at which a held prompt looks for the end of the slow phase; half a fast pass. */
+        val HOLD_POLL = 20.milliseconds
+
+        /** Share of the latency target that a prompt can spare; reading it takes less than the rest, also at high load. */
+        const val SPARE_SHARE = 0.5
+
+        /** Share of the longest pause on time up to which a pace is no reason to hold prompts. */
+        const val TOLERATED_SHARE = 0.5
+
         const val SERVER_ERRORS = 500
         val UNPROVED_STATUSES = setOf(408, 421, 429, 503)
 
