--- a/decision/src/main/kotlin/io/kumquattrail/decision/placement/PromptHold.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/placement/PromptHold.kt
@@ -20,30 +20,38 @@
     private val longestPhase: Duration = 600.milliseconds,
     private val rest: Duration = 2.seconds,
 ) {
-    private var usual: Duration? = null
+    /** Usual pause between two events, which follows the present one slowly; `null` before the first. */
+    var usual: Duration? = null
+        private set
     private var observedAt = MonotonicTime.ZERO
     private var slowInRow = 0
     private var phaseBegan: MonotonicTime? = null
     private var phaseEnds: MonotonicTime? = null
 
-    /** Takes in a pause between two events of one stream; up to [tolerated] callers do not mind. */
+    /**
+     * Takes in a pause between two events of one stream; up to [tolerated] callers do not mind.
+     *
+     * Returns whether a slow phase begins.
+     */
     fun observed(
         pause: Duration,
         tolerated: Duration,
         now: MonotonicTime,
-    ) {
+    ): Boolean {
         val known = usual ?: pause
         val isSlow = pause > tolerated && pause > known * SLOWDOWN
         slowInRow = if (isSlow) slowInRow + 1 else 0
         if (!isSlow) phaseEnds = phaseEnds?.coerceAtMost(now)
         val mayBegin = phaseBegan?.let { now - it >= rest } ?: true
-        if (slowInRow >= LEAST_SLOW && mayBegin) {
+        val begins = slowInRow >= LEAST_SLOW && mayBegin
+        if (begins) {
             phaseBegan = now
             phaseEnds = now + longestPhase
         }
         val weight = ((now - observedAt) / MEMORY).coerceIn(0.0, 1.0)
         usual = known + (pause - known) * weight
         observedAt = now
+        return begins
     }
 
     /**
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -309,8 +309,7 @@
         val now = ProcessClock.monotonic()
         call.lastEventAt?.let { last ->
             onPause(call.service, now - last, now)
-            val tolerated = (call.route.gapTarget ?: Duration.ZERO) * TOLERATED_SHARE
-            promptHolds.getOrPut(call.service) { PromptHold() }.observed(now - last, tolerated, now)
+            observeForHolds(call, now - last, now)
             if (now - last > call.longestPause) {
                 call.longestPause = now - last
                 call.longestPauseEnd = now - call.exchange.arrived
@@ -319,6 +318,22 @@
         call.lastEventAt = now
     }
 
+    private fun observeForHolds(
+        call: Call,
+        pause: Duration,
+        now: MonotonicTime,
+    ) {
+        val tolerated = (call.route.gapTarget ?: return) * TOLERATED_SHARE
+        val hold = promptHolds.getOrPut(call.service) { PromptHold() }
+        if (!hold.observed(pause, tolerated, now)) return
+        state.log.log(
+            "streams_slowed",
+            "service" to call.service,
+            "pause_ms" to pause.inWholeMilliseconds,
+            "usual_ms" to hold.usual?.inWholeMilliseconds,
+        )
+    }
+
     private fun mayRetry(
         call: Call,
         failure: AttemptOutcome.Failed,
