Release a group sooner that a frozen keeper of its maps has left held

Ruled out: orders that the ranks refused (all were accepted at once).

Settling counts from the time a process can serve, since that is when it may not have met the others; a process that has long met them acts at once. The survey already tells that the group is held, so the take-over follows it directly.

MapLeadershipSpec and GroupKeeperSpec fail on the old code.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/MapLeadership.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/MapLeadership.kt
@@ -35,13 +35,14 @@
  * does the lowest name decide. Two that keep them, for lack of contact, are kept apart by fencing numbers at the ranks.
  *
  * @property own this process.
- * @property settle time for which a process must be the first of all before it acts; peers meet in less.
+ * @property settle time for which a process must be able to serve before it acts; peers meet in less. A process that has
+ *   long met the others takes over from a lost keeper at once, as it may have left the group held.
  */
 class MapLeadership(
     private val own: ProcessName,
     private val settle: Duration = 700.milliseconds,
 ) {
-    private var firstSince: MonotonicTime? = null
+    private var readySince: MonotonicTime? = null
 
     /** Role after the last decision. */
     var role: MapRole = MapRole.FOLLOWS
@@ -58,13 +59,12 @@
         peers: List<MapKeeperCandidate>,
         now: MonotonicTime,
     ): MapRole {
-        val isFirst = isReady && peers.none(::precedes)
-        val since = (firstSince ?: now).takeIf { isFirst }
-        firstSince = since
+        val since = (readySince ?: now).takeIf { isReady }
+        readySince = since
         role =
             when {
-                since == null -> MapRole.FOLLOWS
-                role == MapRole.KEEPS || now - since > settle -> MapRole.KEEPS
+                since == null || peers.any(::precedes) -> MapRole.FOLLOWS
+                now - since > settle -> MapRole.KEEPS
                 else -> MapRole.SETTLES
             }
         return role
--- a/decision/src/test/kotlin/io/kumquattrail/decision/expert/replica/MapLeadershipSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/expert/replica/MapLeadershipSpec.kt
@@ -70,6 +70,17 @@
             }
         }
 
+        describe("a keeper that is lost, perhaps with the group held") {
+            it("is followed at once by a gateway that has long met the others") {
+                val leaders = Leaders(3).apply { play(40) }
+                leaders.keepers() shouldBe listOf(process(1))
+                leaders.leaderships.remove(process(1))
+                leaders.ready -= process(1)
+                leaders.play(2)
+                leaders.keepers() shouldBe listOf(process(2))
+            }
+        }
+
         describe("two gateways that kept the maps without contact") {
             it("leave them to the lower name when they meet") {
                 val first = MapLeadership(process(1))
--- a/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
@@ -99,6 +99,8 @@
         val view = groups.getOrPut(service) { GroupView() }
         if (view.isStale) {
             if (!survey(service, view, servers, figures)) return delay(SURVEY_PAUSE)
+            // The group writes nothing until it is released, so its silence need not be awaited.
+            if (view.isHeld) return takeOver(service, view)
             // The first look then sees what was chosen since, and need not wait for a sample.
             read(view, figures)
             view.counter.restart()
@@ -172,6 +174,7 @@
         if (holdings.size != size || holdings.distinctBy { it.mapVersion }.size != 1) return false
         view.ranks = members
         view.epoch = ordered.first().epoch
+        view.isHeld = ordered.any { it.heldPass != null }
         view.map =
             ReplicaMap(
                 (0 until figures.layerSets)
@@ -265,6 +268,7 @@
     ) {
         // Reports lag; what the other process ordered last shows after this time.
         delay(switchSettings.reportLag)
+        view.isHeld = false
         val states = states(view.ranks).sortedBy { it.rank }
         if (states.size != view.ranks.size) return view.forget()
         val switch = MapSwitch.takeOver(states, ProcessClock.monotonic(), switchSettings) ?: return
@@ -354,6 +358,9 @@
         var epoch = 0L
         var map: ReplicaMap? = null
         var highestVersion = 0L
+
+        /** Whether a rank held the group at the survey. */
+        var isHeld = false
         var lookedAt = MonotonicTime(Long.MIN_VALUE / 2)
 
         /** Time of the last look if it showed too little to decide. */
--- a/forward/src/test/kotlin/io/kumquattrail/forward/expert/GroupKeeperSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/expert/GroupKeeperSpec.kt
@@ -178,6 +178,18 @@
         }
 
         describe("a group that a gateway has left held") {
+            it("is released after the survey, before any silence of the group is noticed") {
+                val control = HeldGroup()
+                runBlocking {
+                    val keeping = Job()
+                    val keeper = GroupKeeper(gatewayState(), control, peers = { emptyList() })
+                    keeper.start(CoroutineScope(coroutineContext + keeping))
+                    withTimeoutOrNull(5.seconds) { while (control.heldPass != null) delay(20) }
+                    keeping.cancel()
+                }
+                control.heldPass.shouldBeNull()
+            }
+
             it("is released by the next one, although it writes nothing that would show it") {
                 val control = HeldGroup()
                 val state = gatewayState()
