--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/RankState.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/RankState.kt
@@ -14,7 +14,6 @@
  * @property mapVersion version of the map in use.
  * @property preparedVersion version that is prepared completely; `null` for none.
  * @property armedVersion version to which the rank will switch; `null` for none.
- * @property pace time that the rank takes for its work against the usual; over 1 when it is slow.
  * @property heldPass pass that the group does not begin until it is released; `null` for none.
  */
 data class RankState(
@@ -29,7 +28,6 @@
     val preparedVersion: Long? = null,
     val armedVersion: Long? = null,
     val heldPass: Long? = null,
-    val pace: Double = 1.0,
 )
 
 /** An order to one rank. */
--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/ReplicaMap.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/ReplicaMap.kt
@@ -19,18 +19,9 @@
     fun copiesAfter(before: ReplicaMap): List<Int> =
         (0 until ranks).map { rank -> sets.indices.sumOf { set -> (sets[set][rank] - before.sets[set][rank]).size } }
 
-    /**
-     * Returns the time of the rank that takes longest against the mean load, averaged over the sets, for [popularity].
-     *
-     * @param paces time that each rank takes for a load; all take the same when it is empty.
-     */
-    fun imbalance(
-        popularity: ExpertPopularity,
-        paces: List<Double> = emptyList(),
-    ): Double =
-        sets.indices
-            .map { set -> SetLoads(popularity.shares[set], sets[set], paces).let { it.highest / it.mean } }
-            .average()
+    /** Returns the load of the most loaded rank against the mean, averaged over the sets, for [popularity]. */
+    fun imbalance(popularity: ExpertPopularity): Double =
+        sets.indices.map { set -> SetLoads(popularity.shares[set], sets[set]).let { it.highest / it.mean } }.average()
 }
 
 /**
@@ -46,7 +37,6 @@
 internal class SetLoads(
     private val shares: DoubleArray,
     ranks: List<Set<Int>>,
-    private val paces: List<Double> = emptyList(),
 ) {
     private val replicas =
         IntArray(shares.size).also { counts ->
@@ -54,9 +44,8 @@
         }
     private val loads = DoubleArray(ranks.size) { rank -> ranks[rank].sumOf { shares[it] / replicas[it] } }
 
-    /** Time of the rank that takes longest. */
-    val highest: Double
-        get() = loads.indices.maxOfOrNull { rank -> loads[rank] * (paces.getOrNull(rank) ?: 1.0) } ?: 0.0
+    /** Load of the most loaded rank. */
+    val highest: Double get() = loads.maxOrNull() ?: 0.0
 
     /** Mean load. */
     val mean: Double get() = if (loads.isEmpty()) 1.0 else maxOf(loads.average(), Double.MIN_VALUE)
--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/ReplicaPlanner.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/ReplicaPlanner.kt
@@ -27,28 +27,22 @@
  * Load pattern: the popularity of experts shifts every few seconds, and all ranks wait for the most loaded one in every
  * set. The plan relieves the most loaded rank of a set step by step: it adds a replica elsewhere, moves an expert away
  * or swaps two, and takes the step that leaves the lowest loads. It ends when no step is worth its copies. Sets with the
- * highest load come first, as the copies of a rank are limited. A rank that is slow counts with the time that its load
- * takes, so it gets less of it.
+ * highest load come first, as the copies of a rank are limited.
  */
 class ReplicaPlanner(
     private val limits: ReplicaLimits,
 ) {
-    /**
-     * Returns the map that follows [present] for [popularity].
-     *
-     * @param paces time that each rank takes for a load; all take the same when it is empty.
-     */
+    /** Returns the map that follows [present] for [popularity]. */
     fun plan(
         present: ReplicaMap,
         popularity: ExpertPopularity,
-        paces: List<Double> = emptyList(),
     ): ReplicaMap {
         val copiesLeft = IntArray(present.ranks) { limits.copiesPerRank }
         val order =
-            present.sets.indices.sortedByDescending { SetLoads(popularity.shares[it], present.sets[it], paces).highest }
+            present.sets.indices.sortedByDescending { SetLoads(popularity.shares[it], present.sets[it]).highest }
         val planned = present.sets.toMutableList()
         order.forEach { set ->
-            planned[set] = SetPlan(present.sets[set], popularity.shares[set], paces, limits, copiesLeft).improved()
+            planned[set] = SetPlan(present.sets[set], popularity.shares[set], limits, copiesLeft).improved()
         }
         return ReplicaMap(planned.toImmutableList())
     }
@@ -60,7 +54,6 @@
 private class SetPlan(
     present: List<Set<Int>>,
     private val shares: DoubleArray,
-    paces: List<Double>,
     private val limits: ReplicaLimits,
     private val copiesLeft: IntArray,
 ) {
@@ -70,7 +63,6 @@
     private val heldCount = IntArray(ranks) { present[it].size }
     private val newCount = IntArray(ranks)
     private val replicas = IntArray(shares.size) { expert -> held.count { it[expert] } }
-    private val paces = DoubleArray(ranks) { rank -> paces.getOrNull(rank) ?: 1.0 }
     private val loads = DoubleArray(ranks) { rank -> present[rank].sumOf { shares[it] / replicas[it] } }
     private val leastGain = limits.leastGainPerCopy * loads.average()
 
@@ -88,13 +80,13 @@
 
     private fun relieveHottest(): Boolean {
         var hottest = 0
-        for (rank in 1 until ranks) if (timeOf(rank) > timeOf(hottest)) hottest = rank
+        for (rank in 1 until ranks) if (loads[rank] > loads[hottest]) hottest = rank
         best = null
         bestCost = cost()
         for (expert in shares.indices) {
             if (!held[hottest][expert]) continue
             for (target in 0 until ranks) {
-                if (!held[target][expert] && timeOf(target) < timeOf(hottest)) tryTarget(hottest, expert, target)
+                if (!held[target][expert] && loads[target] < loads[hottest]) tryTarget(hottest, expert, target)
             }
         }
         apply(best ?: return false)
@@ -178,16 +170,13 @@
         if (!before[rank][expert]) newCount[rank] -= 1
     }
 
-    private fun timeOf(rank: Int): Double = loads[rank] * paces[rank]
-
     // The highest load decides; a small part of the squares prefers steps that leave room for further ones.
     private fun cost(): Double {
         var highest = 0.0
         var squares = 0.0
-        for (rank in 0 until ranks) {
-            val time = timeOf(rank)
-            if (time > highest) highest = time
-            squares += time * time
+        for (load in loads) {
+            if (load > highest) highest = load
+            squares += load * load
         }
         return highest + SQUARES_WEIGHT * squares
     }
--- a/decision/src/test/kotlin/io/kumquattrail/decision/expert/replica/ReplicaPlannerSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/expert/replica/ReplicaPlannerSpec.kt
@@ -46,19 +46,6 @@
         val planner = ReplicaPlanner(limits)
 
         describe("a plan after popularity has shifted") {
-            it("gives a slow rank less of the load, as all others would wait for it in every pass") {
-                val map = mapInTurn(ranks = 16, sets = 4, experts = 64)
-                val random = Random(11)
-                val paces = List(16) { if (it == 5) 2.0 else 1.0 }
-                repeat(5) {
-                    val popularity = skewed(sets = 4, experts = 64, random = random)
-                    val even = planner.plan(map, popularity)
-                    val planned = planner.plan(map, popularity, paces)
-                    planned.imbalance(popularity, paces) shouldBeLessThan even.imbalance(popularity, paces) * 0.9
-                    planned.copiesAfter(map).max() shouldBeLessThanOrEqualTo 2
-                }
-            }
-
             it("halves the load of the most loaded rank at least, within the copies of one short change") {
                 var map = mapInTurn(ranks = 16, sets = 4, experts = 64)
                 val random = Random(11)
--- a/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
@@ -223,11 +223,10 @@
         }
         val planner =
             ReplicaPlanner(ReplicaLimits(figures.placementsPerRank, newPerSet = figures.sparePlacements))
-        val paces = paces(view) ?: return Improvement.UNDECIDED
         val began = ProcessClock.monotonic()
-        val planned = withContext(planning) { planner.plan(map, popularity, paces) }
-        val before = map.imbalance(popularity, paces)
-        val after = planned.imbalance(popularity, paces)
+        val planned = withContext(planning) { planner.plan(map, popularity) }
+        val before = map.imbalance(popularity)
+        val after = planned.imbalance(popularity)
         if (before - after < LEAST_GAIN) {
             state.log.log("map_kept", "service" to service, "imbalance" to rounded(before), "planned" to rounded(after))
             return Improvement.NOT_NEEDED
@@ -240,20 +239,12 @@
             "planned" to rounded(after),
             "copies" to copies.sum(),
             "evidence" to view.counter.evidence.toLong(),
-            "slowest_pace" to paces.max(),
             "planning_ms" to (ProcessClock.monotonic() - began).inWholeMilliseconds,
         )
         change(service, view, planned, copyTime = figures.copyTime * copies.max())
         return Improvement.CHANGED
     }
 
-    /** Returns the pace of each rank, or `null` when some do not report. */
-    private suspend fun paces(view: GroupView): List<Double>? {
-        val states = states(view.ranks)
-        if (states.size != view.ranks.size) return null
-        return states.sortedBy { it.rank }.map { it.pace }
-    }
-
     private suspend fun change(
         service: ServiceName,
         view: GroupView,
