--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -298,7 +298,13 @@
         val began = ProcessClock.monotonic()
         val spread = random.nextDouble()
         while (true) {
-            val left = hold.holdFor(began, ProcessClock.monotonic(), call.route.latencyTarget * SPARE_SHARE, spread)
+            val left =
+                hold.holdFor(
+                    arrived = began,
+                    now = ProcessClock.monotonic(),
+                    spare = call.route.latencyTarget * SPARE_SHARE,
+                    spread = spread,
+                )
             if (!left.isPositive()) break
             delay(minOf(left, HOLD_POLL))
         }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
@@ -109,6 +109,7 @@
         val now = ProcessClock.monotonic()
         if (view.undecidedAt?.let { now - it < UNDECIDED_PAUSE } == true) return
         val slowed = view.pace.hasSlowed(tolerated = toleratedPause(service), now = now)
+        // A look that showed too little is repeated; its counts go on, so that they add up.
         val isDue = (now - view.lookedAt >= LONGEST_INTERVAL || view.undecidedAt != null) && view.pace.isObserved
         // A held or broken group writes nothing, so silence with work in progress is worth a look, too.
         val isSilent = !view.pace.isObserved && now - view.lookedAt >= SILENT_INTERVAL && hasWork(servers)
--- a/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerExchange.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerExchange.kt
@@ -38,7 +38,7 @@
     private val decodeConfiguration: (ByteArray) -> RoutingConfiguration?,
     private val random: Random = Random.Default,
 ) {
-    private val last = HashMap<ProcessName, PeerMessage>()
+    private val lastMessages = HashMap<ProcessName, PeerMessage>()
     private val table = PeerTable(own = state.process, seeds = seeds, interval = INTERVAL)
 
     /** The document of the configuration in effect, as published; `null` until one is known. */
@@ -50,7 +50,7 @@
     /** Processes that were heard from a moment ago and can serve requests, without this one. */
     fun mapKeeperCandidates(now: MonotonicTime): List<MapKeeperCandidate> =
         alive(now).mapNotNull { process ->
-            last[process]?.takeIf { it.ready }?.let { MapKeeperCandidate(process, it.keepsMaps) }
+            lastMessages[process]?.takeIf { it.ready }?.let { MapKeeperCandidate(process, it.keepsMaps) }
         }
 
     /** Exchanges state with peers until [scope] ends. */
@@ -117,16 +117,19 @@
     fun received(message: PeerMessage) {
         if (message.process == state.process) return
         val now = ProcessClock.monotonic()
-        if (message.stopping) last.remove(message.process) else last[message.process] = message
         if (message.stopping) {
+            lastMessages.remove(message.process)
             if (table.stopping(message.process)) state.log.log("peer_stopping", "peer" to message.process)
-        } else if (table.heard(message.process, message.members, now)) {
-            state.log.log("peer_alive", "peer" to message.process, "known" to alive(now).size)
+        } else {
+            lastMessages[message.process] = message
+            if (table.heard(message.process, message.members, now)) {
+                state.log.log("peer_alive", "peer" to message.process, "known" to alive(now).size)
+            }
         }
         state.loads.peerReported(message.process, message.inProgress, now)
         state.allowance.seen(alive(now).size + 1, now)
         table.removeLost(now).forEach { (peer, since) ->
-            last.remove(peer)
+            lastMessages.remove(peer)
             state.log.log("peer_lost", "peer" to peer, "silent_ms" to (now - since).inWholeMilliseconds)
         }
     }
