Split stream pauses from forwarding, and drop state that can be derived

Found in a reading of the whole change; decisions, bounds and test assertions stay as they are.

- CallForwarder measured pauses and held prompts besides forwarding; StreamPauses does that now.
- The tolerated share of a pause stood in CallForwarder and GroupKeeper; Route.toleratedPause serves both.
- GroupKeeper remembered in a field that a survey had found the group held; the survey returns it.
- PeerExchange kept every peer's last message, with its counts, for two flags; it keeps the candidates for the maps.
- EvenPlacement summed the requests in progress over all peers up to three times a server and request; once is enough.
- RoomFinder had two mayRepeat of which one only called the other.
- GroupKeeperSpec and PromptHoldSpec built the same group and the same pauses twice.

Comments promised that the caller logs a peer's message or document that cannot be read, and no caller did. PeerExchange logs peer_message_unusable and configuration_unusable; this is the only change of behaviour.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/placement/EvenPlacement.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/placement/EvenPlacement.kt
@@ -59,27 +59,27 @@
         hasRate: (BackendServer) -> Boolean = { true },
     ): PlacementDecision {
         val candidates = servers.filter { it.name !in excluded }.ifEmpty { return PlacementDecision.NoServer }
+        // Each count sums over all peers, so it is taken once a server.
         val open =
-            candidates.filter { server ->
-                loads.inProgress(server.name, now) < server.slots &&
-                    !loads.isReportedFull(server.name, now) &&
-                    hasRate(server)
-            }
+            candidates
+                .map { PlacementDecision.Place(server = it, inProgress = loads.inProgress(it.name, now)) }
+                .filter { (server, inProgress) ->
+                    inProgress < server.slots && !loads.isReportedFull(server.name, now) && hasRate(server)
+                }
         if (open.isEmpty()) return PlacementDecision.AllFull
-        val preferred = open.filterNot { loads.health(it.name).isAvoided(now) }.ifEmpty { open }
+        val preferred = open.filterNot { loads.health(it.server.name).isAvoided(now) }.ifEmpty { open }
         val start = Math.floorMod(tieBreak, preferred.size)
         val rotated = preferred.drop(start) + preferred.take(start)
-        val best = rotated.minBy { burden(it, now) }
-        return PlacementDecision.Place(server = best, inProgress = loads.inProgress(best.name, now))
+        return rotated.minBy { burden(it, now) }
     }
 
     private fun burden(
-        server: BackendServer,
+        place: PlacementDecision.Place,
         now: MonotonicTime,
     ): Double {
-        val inProgress = loads.inProgress(server.name, now)
+        val server = place.server
         val failures = settings.failurePenalty * loads.health(server.name).failureRate(now)
         val distance = if (server.zone == ownZone) 0.0 else settings.otherZonePenalty
-        return (inProgress + failures + distance) / server.slots
+        return (place.inProgress + failures + distance) / server.slots
     }
 }
--- a/decision/src/main/kotlin/io/kumquattrail/decision/route/RoutingConfiguration.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/route/RoutingConfiguration.kt
@@ -63,6 +63,9 @@
     val anonymous: Boolean = false,
     val resumable: Boolean = false,
 ) {
+    /** Pause between events up to which a stream is left as it is; `null` for other kinds. */
+    val toleratedPause: Duration? = gapTarget?.let { it * TOLERATED_SHARE }
+
     /** Whether a request may be sent again after a server may have run it. */
     val repeatable: Boolean
         get() =
@@ -71,6 +74,11 @@
                 RouteKind.UNSAFE -> false
                 RouteKind.STREAMING -> resumable
             }
+
+    private companion object {
+        /** Share of [gapTarget] that streams use up to which nothing is done; the rest is for prompts and bursts. */
+        const val TOLERATED_SHARE = 0.5
+    }
 }
 
 /** Gives [service] a share of a route's requests in proportion to [weight]. */
--- a/decision/src/test/kotlin/io/kumquattrail/decision/placement/GroupPasses.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/placement/GroupPasses.kt
@@ -68,9 +68,9 @@
     fun lateShare(
         limit: Duration,
         target: Duration,
-    ): Double = finished.count { it.longestPause > limit || checkNotNull(it.firstEventAfter) > target } / count
-
-    private val count: Double get() = finished.size.toDouble()
+    ): Double =
+        finished.count { it.longestPause > limit || checkNotNull(it.firstEventAfter) > target } /
+            finished.size.toDouble()
 
     private fun arrive() {
         while (nextArrival <= now) {
--- a/decision/src/test/kotlin/io/kumquattrail/decision/placement/PromptHoldSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/placement/PromptHoldSpec.kt
@@ -19,6 +19,16 @@
     return passes.lateShare(LIMIT, TARGET)
 }
 
+/** Observes two seconds of usual pauses and returns the time after them. */
+private fun PromptHold.observeUsualPauses(): MonotonicTime {
+    var now = MonotonicTime.ZERO + 60.seconds
+    repeat(100) {
+        now += 20.milliseconds
+        observed(50.milliseconds, tolerated = 60.milliseconds, now = now)
+    }
+    return now
+}
+
 class PromptHoldSpec :
     DescribeSpec({
         describe("prompts at the peak load while popularity shifts every four seconds") {
@@ -30,11 +40,7 @@
         describe("a group that is slow for longer than a map takes to follow") {
             it("gets its prompts after that time, as waiting no longer helps them") {
                 val hold = PromptHold()
-                var now = MonotonicTime.ZERO + 60.seconds
-                repeat(100) {
-                    now += 20.milliseconds
-                    hold.observed(50.milliseconds, tolerated = 60.milliseconds, now = now)
-                }
+                var now = hold.observeUsualPauses()
                 repeat(40) {
                     now += 20.milliseconds
                     hold.observed(150.milliseconds, tolerated = 60.milliseconds, now = now)
@@ -46,11 +52,7 @@
         describe("a prompt that arrives in a slow phase") {
             it("waits no longer than it can spare of its latency target") {
                 val hold = PromptHold()
-                var now = MonotonicTime.ZERO + 60.seconds
-                repeat(100) {
-                    now += 20.milliseconds
-                    hold.observed(50.milliseconds, tolerated = 60.milliseconds, now = now)
-                }
+                val now = hold.observeUsualPauses()
                 repeat(5) { hold.observed(150.milliseconds, tolerated = 60.milliseconds, now = now) }
                 hold.holdFor(arrived = now, now = now, spare = SPARE, spread = 1.0) shouldBe SPARE
                 hold.holdFor(arrived = now, now = now + SPARE, spare = SPARE, spread = 1.0) shouldBe Duration.ZERO
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -4,7 +4,6 @@
 import io.kumquattrail.decision.delivery.EventStreamCursor
 import io.kumquattrail.decision.delivery.StreamEvent
 import io.kumquattrail.decision.identity.ServiceName
-import io.kumquattrail.decision.placement.PromptHold
 import io.kumquattrail.decision.route.AccessDecision
 import io.kumquattrail.decision.route.AccessPolicy
 import io.kumquattrail.decision.route.Route
@@ -19,7 +18,6 @@
 import io.kumquattrail.forward.http.endToEnd
 import io.kumquattrail.forward.process.GatewayState
 import io.kumquattrail.forward.process.ProcessClock
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.Locale
 import kotlin.random.Random
@@ -35,11 +33,11 @@
     private val rooms: RoomFinder,
     private val headers: ForwardingHeaders,
     private val metrics: ForwardingMetrics,
-    private val onPause: (ServiceName, Duration, MonotonicTime) -> Unit,
+    onPause: (ServiceName, Duration, MonotonicTime) -> Unit,
     private val random: Random = Random.Default,
 ) : CallerRequestHandler {
     private val translation = RequestTranslation(headers)
-    private val promptHolds = HashMap<ServiceName, PromptHold>()
+    private val pauses = StreamPauses(log = state.log, onPause = onPause, random = random)
 
     override suspend fun handle(exchange: CallerExchange) {
         val request = exchange.request
@@ -121,7 +119,7 @@
     }
 
     private suspend fun attempts(call: Call) {
-        holdPrompt(call)
+        pauses.holdPrompt(call)
         while (true) {
             val room = rooms.find(call, random)
             when (room) {
@@ -277,7 +275,7 @@
                         firstByte(call)
                     }
                     call.exchange.piece(event.bytes)
-                    observePause(call)
+                    pauses.eventDelivered(call)
                 }
 
                 is StreamEvent.Duplicate -> {
@@ -292,54 +290,6 @@
         return null
     }
 
-    /** Keeps a prompt back while the streams of its service are slowed by a shift. */
-    private suspend fun holdPrompt(call: Call) {
-        val hold = promptHolds[call.service]?.takeIf { call.route.gapTarget != null } ?: return
-        val began = ProcessClock.monotonic()
-        val spread = random.nextDouble()
-        while (true) {
-            val left =
-                hold.holdFor(
-                    arrived = began,
-                    now = ProcessClock.monotonic(),
-                    spare = call.route.latencyTarget * SPARE_SHARE,
-                    spread = spread,
-                )
-            if (!left.isPositive()) break
-            delay(minOf(left, HOLD_POLL))
-        }
-        call.waited += ProcessClock.monotonic() - began
-    }
-
-    private fun observePause(call: Call) {
-        val now = ProcessClock.monotonic()
-        call.lastEventAt?.let { last ->
-            onPause(call.service, now - last, now)
-            observeForHolds(call, now - last, now)
-            if (now - last > call.longestPause) {
-                call.longestPause = now - last
-                call.longestPauseEnd = now - call.exchange.arrived
-            }
-        }
-        call.lastEventAt = now
-    }
-
-    private fun observeForHolds(
-        call: Call,
-        pause: Duration,
-        now: MonotonicTime,
-    ) {
-        val tolerated = (call.route.gapTarget ?: return) * TOLERATED_SHARE
-        val hold = promptHolds.getOrPut(call.service) { PromptHold() }
-        if (!hold.observed(pause, tolerated, now)) return
-        state.log.log(
-            "streams_slowed",
-            "service" to call.service,
-            "pause_ms" to pause.inWholeMilliseconds,
-            "usual_ms" to hold.usual?.inWholeMilliseconds,
-        )
-    }
-
     private fun mayRetry(
         call: Call,
         failure: AttemptOutcome.Failed,
@@ -350,7 +300,7 @@
         }
         if (call.sendings >= call.route.maximumAttempts + EXTRA_SENDINGS) return false
         // A request that was never sent is no second arrival at a server.
-        return failure.kind == FailureKind.NOT_SENT || rooms.mayRepeat(call)
+        return failure.kind == FailureKind.NOT_SENT || rooms.mayRepeat(call.service, ProcessClock.monotonic())
     }
 
     private fun fail(
@@ -494,15 +444,6 @@
     }
 
     private companion object {
-        /** Interval at which a held prompt looks for the end of the slow phase; half a fast pass. */
-        val HOLD_POLL = 20.milliseconds
-
-        /** Share of the latency target that a prompt can spare; reading it takes less than the rest, also at high load. */
-        const val SPARE_SHARE = 0.5
-
-        /** Share of the longest pause on time up to which a pace is no reason to hold prompts. */
-        const val TOLERATED_SHARE = 0.5
-
         const val SERVER_ERRORS = 500
         val UNPROVED_STATUSES = setOf(408, 421, 429, 503)
 
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/RoomFinder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/RoomFinder.kt
@@ -133,10 +133,7 @@
         serve(line)
     }
 
-    /** Tells whether [call] may be sent to a server once more within the retry budget, and counts it if so. */
-    fun mayRepeat(call: Call): Boolean = mayRepeat(call.service, ProcessClock.monotonic())
-
-    /** As [mayRepeat] of a call of [service] at [now]. */
+    /** Tells whether a call of [service] may be sent once more within the retry budget, and counts it if so. */
     fun mayRepeat(
         service: ServiceName,
         now: MonotonicTime,
--- a/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
@@ -98,9 +98,14 @@
         if (servers.isEmpty()) return
         val view = groups.getOrPut(service) { GroupView() }
         if (view.isStale) {
-            if (!survey(service, view, servers, figures)) return delay(SURVEY_PAUSE)
-            // The group writes nothing until it is released, so its silence need not be awaited.
-            if (view.isHeld) return takeOver(service, view)
+            when (survey(service, view, servers, figures)) {
+                Survey.INCOMPLETE -> return delay(SURVEY_PAUSE)
+
+                // The group writes nothing until it is released, so its silence need not be awaited.
+                Survey.HELD -> return takeOver(service, view)
+
+                Survey.FREE -> Unit
+            }
             // The first look then sees what was chosen since, and need not wait for a sample.
             read(view, figures)
             view.counter.restart()
@@ -148,9 +153,8 @@
             ?.routes
             .orEmpty()
             .filter { route -> route.targets.any { it.service == service } }
-            .mapNotNull { it.gapTarget }
-            .minOrNull()
-            ?.let { it * TOLERATED_SHARE } ?: Duration.ZERO
+            .mapNotNull { it.toleratedPause }
+            .minOrNull() ?: Duration.ZERO
 
     /** Reads which server has which rank and which experts it holds. */
     private suspend fun survey(
@@ -158,24 +162,23 @@
         view: GroupView,
         servers: List<BackendServer>,
         figures: EngineGroupFigures,
-    ): Boolean {
+    ): Survey {
         val states = states(servers)
         // Servers that have left still report the formation in which they were.
         val newest = states.maxOfOrNull { it.epoch }
         val open = states.filter { it.isOpen && it.epoch == newest }
-        val size = open.firstOrNull()?.size ?: return false
+        val size = open.firstOrNull()?.size ?: return Survey.INCOMPLETE
         val ordered = open.sortedBy { it.rank }
         if (ordered.map { it.rank } != (0 until size).toList()) {
             state.log.log("group_incomplete", "service" to service, "ranks" to open.size, "size" to size)
-            return false
+            return Survey.INCOMPLETE
         }
         val byName = servers.associateBy { it.name }
         val members = ordered.mapNotNull { byName[it.server] }
         val holdings = coroutineScope { members.map { async { control.holdings(it) } }.awaitAll() }.filterNotNull()
-        if (holdings.size != size || holdings.distinctBy { it.mapVersion }.size != 1) return false
+        if (holdings.size != size || holdings.distinctBy { it.mapVersion }.size != 1) return Survey.INCOMPLETE
         view.ranks = members
         view.epoch = ordered.first().epoch
-        view.isHeld = ordered.any { it.heldPass != null }
         view.map =
             ReplicaMap(
                 (0 until figures.layerSets)
@@ -191,7 +194,7 @@
             "map" to holdings.first().mapVersion,
             "pass" to ordered.first().pass,
         )
-        return true
+        return if (ordered.any { it.heldPass != null }) Survey.HELD else Survey.FREE
     }
 
     private suspend fun states(servers: List<BackendServer>): List<RankState> =
@@ -269,7 +272,6 @@
     ) {
         // Reports lag; what the other process ordered last shows after this time.
         delay(switchSettings.reportLag)
-        view.isHeld = false
         val states = states(view.ranks).sortedBy { it.rank }
         if (states.size != view.ranks.size) return view.forget()
         val switch = MapSwitch.takeOver(states, ProcessClock.monotonic(), switchSettings) ?: return
@@ -346,6 +348,15 @@
         }
     }
 
+    private enum class Survey {
+        /** Not all ranks of one formation have answered. */
+        INCOMPLETE,
+
+        /** A rank keeps the group from going on. */
+        HELD,
+        FREE,
+    }
+
     private enum class Improvement {
         CHANGED,
         NOT_NEEDED,
@@ -360,8 +371,6 @@
         var map: ReplicaMap? = null
         var highestVersion = 0L
 
-        /** Whether a rank held the group at the survey. */
-        var isHeld = false
         var lookedAt = MonotonicTime(Long.MIN_VALUE / 2)
 
         /** Time of the last look if it showed too little to decide. */
@@ -400,9 +409,6 @@
         /** Time between attempts to find a complete group; one forms anew in seconds. */
         val SURVEY_PAUSE = 300.milliseconds
 
-        /** Share of the longest pause on time up to which a group is left alone; the rest is for prompts and bursts. */
-        const val TOLERATED_SHARE = 0.5
-
         /** Choices without which an estimate is mostly noise, over a few requests. */
         const val LEAST_EVIDENCE = 200.0
 
--- a/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerExchange.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerExchange.kt
@@ -38,7 +38,7 @@
     private val decodeConfiguration: (ByteArray) -> RoutingConfiguration?,
     private val random: Random = Random.Default,
 ) {
-    private val lastMessages = HashMap<ProcessName, PeerMessage>()
+    private val mapKeepers = HashMap<ProcessName, MapKeeperCandidate>()
     private val table = PeerTable(own = state.process, seeds = seeds, interval = INTERVAL)
 
     /** The document of the configuration in effect, as published; `null` until one is known. */
@@ -48,10 +48,7 @@
     fun alive(now: MonotonicTime): List<ProcessName> = table.alive(now)
 
     /** Processes that were heard from a moment ago and can serve requests, without this one. */
-    fun mapKeeperCandidates(now: MonotonicTime): List<MapKeeperCandidate> =
-        alive(now).mapNotNull { process ->
-            lastMessages[process]?.takeIf { it.ready }?.let { MapKeeperCandidate(process, it.keepsMaps) }
-        }
+    fun mapKeeperCandidates(now: MonotonicTime): List<MapKeeperCandidate> = alive(now).mapNotNull(mapKeepers::get)
 
     /** Exchanges state with peers until [scope] ends. */
     fun start(scope: CoroutineScope) {
@@ -68,7 +65,7 @@
         when (exchange.request.target) {
             EXCHANGE_PATH -> {
                 val message =
-                    PeerMessage.decode(exchange.request.body) ?: return exchange.respond(HttpReply(BAD_REQUEST))
+                    message(exchange.request.body, peer = null) ?: return exchange.respond(HttpReply(BAD_REQUEST))
                 received(message)
                 exchange.respond(HttpReply(OK, body = ownMessage().encode()))
             }
@@ -90,7 +87,7 @@
         val sentAtWall = ProcessClock.wall()
         val request = HttpMessage("POST", EXCHANGE_PATH, body = ownMessage().encode())
         val answer = caller.call(address, request, TIMEOUT) as? CallResult.Answered ?: return
-        val message = PeerMessage.decode(answer.reply.body) ?: return
+        val message = message(answer.reply.body, peer) ?: return
         received(message)
         takeConfiguration(address, message)
         if (message.configurationVersion == state.configuration?.version && message.confirmedAge.isFinite()) {
@@ -108,28 +105,41 @@
             caller.call(address, HttpMessage("GET", CONFIGURATION_PATH), DOCUMENT_TIMEOUT) as? CallResult.Answered
                 ?: return
         val document = answer.reply.body
-        val configuration = decodeConfiguration(document) ?: return
+        val configuration = decodeConfiguration(document)
+        if (configuration == null) {
+            state.log.log("configuration_unusable", "peer" to address, "bytes" to document.size)
+            return
+        }
         configurationDocument = document
         state.publish(configuration, source = "peer $address")
     }
 
+    private fun message(
+        bytes: ByteArray,
+        peer: ProcessName?,
+    ): PeerMessage? =
+        PeerMessage.decode(bytes).also {
+            if (it == null) state.log.log("peer_message_unusable", "peer" to peer, "bytes" to bytes.size)
+        }
+
     /** Takes in what a peer says. */
     fun received(message: PeerMessage) {
         if (message.process == state.process) return
         val now = ProcessClock.monotonic()
+        if (message.ready && !message.stopping) {
+            mapKeepers[message.process] = MapKeeperCandidate(message.process, message.keepsMaps)
+        } else {
+            mapKeepers.remove(message.process)
+        }
         if (message.stopping) {
-            lastMessages.remove(message.process)
             if (table.stopping(message.process)) state.log.log("peer_stopping", "peer" to message.process)
-        } else {
-            lastMessages[message.process] = message
-            if (table.heard(message.process, message.members, now)) {
-                state.log.log("peer_alive", "peer" to message.process, "known" to alive(now).size)
-            }
+        } else if (table.heard(message.process, message.members, now)) {
+            state.log.log("peer_alive", "peer" to message.process, "known" to alive(now).size)
         }
         state.loads.peerReported(message.process, message.inProgress, now)
         state.allowance.seen(alive(now).size + 1, now)
         table.removeLost(now).forEach { (peer, since) ->
-            lastMessages.remove(peer)
+            mapKeepers.remove(peer)
             state.log.log("peer_lost", "peer" to peer, "silent_ms" to (now - since).inWholeMilliseconds)
         }
     }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerMessage.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerMessage.kt
@@ -1,5 +1,6 @@
 package io.kumquattrail.forward.peer
 
+import com.fasterxml.jackson.core.JacksonException
 import com.fasterxml.jackson.databind.JsonNode
 import com.fasterxml.jackson.databind.json.JsonMapper
 import com.fasterxml.jackson.databind.node.ObjectNode
@@ -53,7 +54,7 @@
             val root: JsonNode =
                 try {
                     MAPPER.readTree(bytes) ?: return null
-                } catch (_: com.fasterxml.jackson.core.JacksonException) {
+                } catch (_: JacksonException) {
                     // The caller logs the peer and the size; the bytes themselves are of no use.
                     return null
                 }
--- a/forward/src/test/kotlin/io/kumquattrail/forward/expert/GroupKeeperSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/expert/GroupKeeperSpec.kt
@@ -35,10 +35,9 @@
 private val SERVICE = ServiceName("drafting")
 private val FIGURES = EngineGroupFigures(layerSets = 1, experts = 4, placementsPerRank = 3, sparePlacements = 1)
 
-/** Two ranks, of which the first holds the group before a pass, as a gateway that is gone has left them. */
-private class HeldGroup : RankControl {
-    var heldPass: Long? = 7
-    val orders = ArrayList<Pair<String, RankOrder>>()
+/** Two ranks of one open group, each with the experts of map 0. */
+private abstract class TwoRanks : RankControl {
+    open fun heldPass(server: BackendServer): Long? = null
 
     override suspend fun state(server: BackendServer) =
         RankState(
@@ -50,27 +49,29 @@
             isOpen = true,
             pass = 6,
             mapVersion = 0,
-            heldPass = heldPass.takeIf { server.port == 0 },
+            heldPass = heldPass(server),
         )
 
-    override suspend fun choices(
-        server: BackendServer,
-        figures: EngineGroupFigures,
-    ) = RankChoices(server.name, epoch = 1, choices = listOf(longArrayOf(1, 1, 1, 1)))
-
     override suspend fun holdings(server: BackendServer) =
         RankHoldings(
             epoch = 1,
             mapVersion = 0,
             preparedVersion = null,
-            experts =
-                listOf(
-                    setOf(
-                        server.port,
-                        server.port + 2,
-                    ),
-                ),
+            experts = listOf(setOf(server.port, server.port + 2)),
         )
+}
+
+/** Two ranks, of which the first holds the group before a pass, as a gateway that is gone has left them. */
+private class HeldGroup : TwoRanks() {
+    var heldPass: Long? = 7
+    val orders = ArrayList<Pair<String, RankOrder>>()
+
+    override fun heldPass(server: BackendServer): Long? = heldPass.takeIf { server.port == 0 }
+
+    override suspend fun choices(
+        server: BackendServer,
+        figures: EngineGroupFigures,
+    ) = RankChoices(server.name, epoch = 1, choices = listOf(longArrayOf(1, 1, 1, 1)))
 
     override suspend fun order(
         server: BackendServer,
@@ -87,23 +88,11 @@
 /** Two ranks of which the second has all the load; few choices are made until [busyAt] readings were taken. */
 private class QuietThenBusyGroup(
     private val busyAt: Int,
-) : RankControl {
+) : TwoRanks() {
     private var readings = 0
     private val chosen = LongArray(4)
     val prepared = AtomicInteger()
 
-    override suspend fun state(server: BackendServer) =
-        RankState(
-            server = server.name,
-            group = "g",
-            epoch = 1,
-            rank = server.port,
-            size = 2,
-            isOpen = true,
-            pass = 6,
-            mapVersion = 0,
-        )
-
     override suspend fun choices(
         server: BackendServer,
         figures: EngineGroupFigures,
@@ -117,14 +106,6 @@
         return RankChoices(server.name, epoch = 1, choices = listOf(chosen.copyOf()))
     }
 
-    override suspend fun holdings(server: BackendServer) =
-        RankHoldings(
-            epoch = 1,
-            mapVersion = 0,
-            preparedVersion = null,
-            experts = listOf(setOf(server.port, server.port + 2)),
-        )
-
     override suspend fun order(
         server: BackendServer,
         order: RankOrder,
