Keep an expert map for each group of a service

A service may consist of several groups, each with ranks 0, 1, 2 of its own.

GroupFormation sorts the reports into groups; each has a view, a pace and a coroutine of its own, so a switch of one group does not delay the other. Only servers that belong to no known formation are surveyed. The test of two groups in GroupKeeperSpec cannot pass on the code before, which never sees ranks 0 and 1 alone; it was not run there.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/RankState.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/RankState.kt
@@ -1,5 +1,6 @@
 package io.kumquattrail.decision.expert.replica
 
+import io.kumquattrail.decision.identity.GroupName
 import io.kumquattrail.decision.identity.ServerName
 
 /**
@@ -18,7 +19,7 @@
  */
 data class RankState(
     val server: ServerName,
-    val group: String,
+    val group: GroupName,
     val epoch: Long,
     val rank: Int,
     val size: Int,
--- /dev/null
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/expert/replica/GroupFormationSpec.kt
@@ -0,0 +1,59 @@
+package io.kumquattrail.decision.expert.replica
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import io.kumquattrail.decision.identity.GroupName
+import io.kumquattrail.decision.identity.ServerName
+
+private fun state(
+    group: String,
+    rank: Int,
+    epoch: Long = 1,
+    isOpen: Boolean = true,
+) = RankState(
+    server = ServerName("$group-$rank-$epoch"),
+    group = GroupName(group),
+    epoch = epoch,
+    rank = rank,
+    size = 2,
+    isOpen = isOpen,
+    pass = 6,
+    mapVersion = 0,
+)
+
+private fun completeGroups(states: List<RankState>) =
+    GroupFormation.of(states).filter { it.isComplete }.map { it.group.value }
+
+class GroupFormationSpec :
+    DescribeSpec({
+        describe("servers of two groups that report together") {
+            it("are two complete groups, each with its ranks in order") {
+                val formations = GroupFormation.of(listOf(state("b", 1), state("a", 0), state("b", 0), state("a", 1)))
+                formations.associate { it.group.value to it.ranks.map { rank -> rank.server.value } } shouldBe
+                    mapOf("a" to listOf("a-0-1", "a-1-1"), "b" to listOf("b-0-1", "b-1-1"))
+                formations.all { it.isComplete } shouldBe true
+            }
+
+            it("are judged apart, so that a group without one of its ranks does not hide the other") {
+                completeGroups(listOf(state("a", 0), state("b", 0), state("b", 1))) shouldContainExactly listOf("b")
+            }
+
+            it("may be at different epochs, and each group's own newest counts") {
+                val states = listOf(state("a", 0), state("a", 1), state("b", 0, epoch = 5), state("b", 1, epoch = 5))
+                completeGroups(states) shouldContainExactly listOf("a", "b")
+            }
+        }
+
+        describe("a group that has formed anew") {
+            it("does not count a rank of the formation before") {
+                val states = listOf(state("a", 0, epoch = 2), state("a", 0), state("a", 1))
+                completeGroups(states).shouldBeEmpty()
+            }
+
+            it("is incomplete while a rank is not open") {
+                completeGroups(listOf(state("a", 0), state("a", 1, isOpen = false))).shouldBeEmpty()
+            }
+        }
+    })
--- a/decision/src/test/kotlin/io/kumquattrail/decision/expert/replica/MapSwitchSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/expert/replica/MapSwitchSpec.kt
@@ -4,6 +4,7 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.comparables.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
+import io.kumquattrail.decision.identity.GroupName
 import io.kumquattrail.decision.identity.ServerName
 import io.kumquattrail.decision.time.MonotonicTime
 import kotlin.random.Random
@@ -130,7 +131,7 @@
         ranks.mapIndexed { index, rank ->
             RankState(
                 server = ServerName("s$index"),
-                group = "g",
+                group = GroupName("g"),
                 epoch = 1,
                 rank = index,
                 size = RANKS,
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -3,6 +3,7 @@
 import io.kumquattrail.decision.catalogue.BackendServer
 import io.kumquattrail.decision.delivery.EventStreamCursor
 import io.kumquattrail.decision.delivery.StreamEvent
+import io.kumquattrail.decision.identity.ServerName
 import io.kumquattrail.decision.identity.ServiceName
 import io.kumquattrail.decision.route.AccessDecision
 import io.kumquattrail.decision.route.AccessPolicy
@@ -33,7 +34,7 @@
     private val rooms: RoomFinder,
     private val headers: ForwardingHeaders,
     private val metrics: ForwardingMetrics,
-    onPause: (ServiceName, Duration, MonotonicTime) -> Unit,
+    onPause: (ServerName, Duration, MonotonicTime) -> Unit,
     private val random: Random = Random.Default,
 ) : CallerRequestHandler {
     private val translation = RequestTranslation(headers)
@@ -160,7 +161,7 @@
                 )
             return when (started) {
                 is AttemptStart.Answering -> {
-                    deliver(call, attempt, started)
+                    deliver(call, server, attempt, started)
                 }
 
                 is AttemptStart.NotSent -> {
@@ -188,12 +189,13 @@
 
     private suspend fun deliver(
         call: Call,
+        server: BackendServer,
         attempt: ServerAttempt,
         response: AttemptStart.Answering,
     ): AttemptOutcome =
         when {
             response.status !in SUCCESS -> deliverFailure(call, attempt, response)
-            call.route.kind == RouteKind.STREAMING -> deliverStream(call, attempt, response)
+            call.route.kind == RouteKind.STREAMING -> deliverStream(call, server, attempt, response)
             else -> deliverWhole(call, attempt, response)
         }
 
@@ -229,6 +231,7 @@
 
     private suspend fun deliverStream(
         call: Call,
+        server: BackendServer,
         attempt: ServerAttempt,
         response: AttemptStart.Answering,
     ): AttemptOutcome {
@@ -236,7 +239,7 @@
         while (true) {
             when (val part = attempt.next(call.deadline - ProcessClock.monotonic())) {
                 is ResponsePart.Body -> {
-                    val fault = passOn(call, response, part.bytes)
+                    val fault = passOn(call, server.name, response, part.bytes)
                     if (fault != null) return broken(call, fault)
                 }
 
@@ -264,6 +267,7 @@
 
     private fun passOn(
         call: Call,
+        server: ServerName,
         response: AttemptStart.Answering,
         bytes: ByteArray,
     ): String? {
@@ -275,7 +279,7 @@
                         firstByte(call)
                     }
                     call.exchange.piece(event.bytes)
-                    pauses.eventDelivered(call)
+                    pauses.eventDelivered(call, server)
                 }
 
                 is StreamEvent.Duplicate -> {
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/StreamPauses.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/StreamPauses.kt
@@ -1,5 +1,6 @@
 package io.kumquattrail.forward.call
 
+import io.kumquattrail.decision.identity.ServerName
 import io.kumquattrail.decision.identity.ServiceName
 import io.kumquattrail.decision.placement.PromptHold
 import io.kumquattrail.decision.time.MonotonicTime
@@ -16,7 +17,7 @@
  */
 internal class StreamPauses(
     private val log: EventLog,
-    private val onPause: (ServiceName, Duration, MonotonicTime) -> Unit,
+    private val onPause: (ServerName, Duration, MonotonicTime) -> Unit,
     private val random: Random,
 ) {
     private val promptHolds = HashMap<ServiceName, PromptHold>()
@@ -40,14 +41,17 @@
         call.waited += ProcessClock.monotonic() - began
     }
 
-    /** Records that an event of [call]'s stream has been passed on. */
-    fun eventDelivered(call: Call) {
+    /** Records that an event of [call]'s stream, which [server] writes, has been passed on. */
+    fun eventDelivered(
+        call: Call,
+        server: ServerName,
+    ) {
         val now = ProcessClock.monotonic()
         val last = call.lastEventAt
         call.lastEventAt = now
         if (last == null) return
         val pause = now - last
-        onPause(call.service, pause, now)
+        onPause(server, pause, now)
         observe(call, pause, now)
         if (pause > call.longestPause) {
             call.longestPause = pause
--- a/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
@@ -1,18 +1,18 @@
 package io.kumquattrail.forward.expert
 
 import io.kumquattrail.decision.catalogue.BackendServer
-import io.kumquattrail.decision.expert.replica.ChoiceCounter
+import io.kumquattrail.decision.expert.replica.GroupFormation
 import io.kumquattrail.decision.expert.replica.MapKeeperCandidate
 import io.kumquattrail.decision.expert.replica.MapLeadership
 import io.kumquattrail.decision.expert.replica.MapRole
 import io.kumquattrail.decision.expert.replica.MapSwitch
 import io.kumquattrail.decision.expert.replica.MapSwitchPhase
 import io.kumquattrail.decision.expert.replica.MapSwitchSettings
-import io.kumquattrail.decision.expert.replica.PaceWatch
-import io.kumquattrail.decision.expert.replica.RankState
 import io.kumquattrail.decision.expert.replica.ReplicaLimits
 import io.kumquattrail.decision.expert.replica.ReplicaMap
 import io.kumquattrail.decision.expert.replica.ReplicaPlanner
+import io.kumquattrail.decision.identity.GroupName
+import io.kumquattrail.decision.identity.ServerName
 import io.kumquattrail.decision.identity.ServiceName
 import io.kumquattrail.decision.route.EngineGroupFigures
 import io.kumquattrail.decision.time.MonotonicTime
@@ -38,7 +38,8 @@
 /**
  * Keeps the expert maps of groups in line with what is popular.
  *
- * One of all gateways does it, as [MapLeadership] decides.
+ * One of all gateways does it, as [MapLeadership] decides. Each group is worked on by itself, so that a switch of one
+ * does not delay another.
  *
  * @property peers returns the other gateways that live and can serve requests.
  */
@@ -51,27 +52,34 @@
     private val planning =
         Executors.newSingleThreadExecutor { Thread(it, "planning").apply { isDaemon = true } }.asCoroutineDispatcher()
     private val switchSettings = MapSwitchSettings()
-    private val groups = HashMap<ServiceName, GroupView>()
-    private var fence = 0L
+    private val switches = MapSwitchRunner(control, state.log)
+    private val groups = HashMap<GroupKey, GroupView>()
+    private val incomplete = HashMap<GroupKey, Int>()
     private val leadership = MapLeadership(state.process)
 
+    // Groups, and services under their survey, on which a coroutine works. It may outlast the role of the process.
+    private val inWork = HashSet<GroupKey>()
+
     /** Keeps maps until [scope] ends. */
     fun start(scope: CoroutineScope) {
         scope.launch {
             while (true) {
                 delay(INTERVAL)
-                if (leads()) services().forEach { (service, figures) -> keep(service, figures) }
+                if (leads()) services().forEach { (service, figures) -> keepService(scope, service, figures) }
             }
         }
     }
 
-    /** Takes in a pause between two events of a stream of [service]. */
+    /** Takes in a pause between two events of a stream that [server] writes. */
     fun paused(
-        service: ServiceName,
+        server: ServerName,
         pause: Duration,
         now: MonotonicTime,
     ) {
-        groups[service]?.pace?.observed(pause, now)
+        groups.values
+            .firstOrNull { server in it.members }
+            ?.pace
+            ?.observed(pause, now)
     }
 
     private fun leads(): Boolean {
@@ -90,39 +98,48 @@
             .values
             .mapNotNull { service -> service.engine?.group?.let { service.name to it } }
 
-    private suspend fun keep(
+    private fun keepService(
+        scope: CoroutineScope,
         service: ServiceName,
         figures: EngineGroupFigures,
     ) {
-        val servers = state.catalogue.servers.filter { it.service == service }
-        if (servers.isEmpty()) return
-        val view = groups.getOrPut(service) { GroupView() }
-        if (view.isStale) {
-            when (survey(service, view, servers, figures)) {
-                Survey.INCOMPLETE -> return delay(SURVEY_PAUSE)
-
-                // The group writes nothing until it is released, so its silence need not be awaited.
-                Survey.HELD -> return takeOver(service, view)
-
-                Survey.FREE -> Unit
+        val ofService = groups.filterKeys { it.service == service }
+        val known = ofService.values.flatMapTo(HashSet()) { it.members }
+        val unknown = state.catalogue.servers.filter { it.service == service && it.name !in known }
+        if (unknown.isNotEmpty()) {
+            work(scope, GroupKey(service, group = null)) {
+                survey(service, unknown, figures)
+                delay(SURVEY_PAUSE)
             }
-            // The first look then sees what was chosen since, and need not wait for a sample.
-            read(view, figures)
-            view.counter.restart()
-            view.undecidedAt = ProcessClock.monotonic()
         }
+        ofService.forEach { (key, view) -> work(scope, key) { keep(view, figures) } }
+    }
+
+    private fun work(
+        scope: CoroutineScope,
+        key: GroupKey,
+        task: suspend () -> Unit,
+    ) {
+        if (!inWork.add(key)) return
+        scope.launch { task() }.invokeOnCompletion { inWork.remove(key) }
+    }
+
+    private suspend fun keep(
+        view: GroupView,
+        figures: EngineGroupFigures,
+    ) {
         val now = ProcessClock.monotonic()
         if (view.undecidedAt?.let { now - it < UNDECIDED_PAUSE } == true) return
-        val slowed = view.pace.hasSlowed(tolerated = toleratedPause(service), now = now)
+        val slowed = view.pace.hasSlowed(tolerated = toleratedPause(view.service), now = now)
         // A look that showed too little is repeated; its counts go on, so that they add up.
         val isDue = (now - view.lookedAt >= LONGEST_INTERVAL || view.undecidedAt != null) && view.pace.isObserved
         // A held or broken group writes nothing, so silence with work in progress is worth a look, too.
-        val isSilent = !view.pace.isObserved && now - view.lookedAt >= SILENT_INTERVAL && hasWork(servers)
+        val isSilent = !view.pace.isObserved && now - view.lookedAt >= SILENT_INTERVAL && hasWork(view)
         if (!slowed && !isDue && !isSilent) return
         view.lookedAt = now
-        val report = control.state(view.ranks.first()) ?: return view.forget()
-        if (report.epoch != view.epoch || !report.isOpen) return view.forget()
-        if (report.heldPass != null) return takeOver(service, view)
+        val report = control.state(view.ranks.first()) ?: return forget(view)
+        if (report.epoch != view.epoch || !report.isOpen) return forget(view)
+        if (report.heldPass != null) return takeOver(view)
         if (isSilent) return
         val hadBaseline = view.counter.hasBaseline
         read(view, figures)
@@ -132,7 +149,7 @@
             delay(SAMPLE_TIME)
             read(view, figures)
         }
-        val improvement = improve(service, view, figures)
+        val improvement = improve(view, figures)
         val lookedUntil = ProcessClock.monotonic()
         view.undecidedAt = lookedUntil.takeIf { improvement == Improvement.UNDECIDED }
         when (improvement) {
@@ -145,7 +162,11 @@
         }
     }
 
-    private fun hasWork(servers: List<BackendServer>): Boolean = servers.any { it.name in state.loads.ownInProgress }
+    private fun hasWork(view: GroupView): Boolean = view.ranks.any { it.name in state.loads.ownInProgress }
+
+    private fun forget(view: GroupView) {
+        groups.remove(GroupKey(view.service, view.group), view)
+    }
 
     /** A group that is well ahead of what its callers need is left alone, as counts, copies and orders have a price. */
     private fun toleratedPause(service: ServiceName): Duration =
@@ -156,50 +177,79 @@
             .mapNotNull { it.toleratedPause }
             .minOrNull() ?: Duration.ZERO
 
-    /** Reads which server has which rank and which experts it holds. */
+    /** Finds the groups that [servers] form, which belong to no known formation. */
     private suspend fun survey(
         service: ServiceName,
-        view: GroupView,
         servers: List<BackendServer>,
         figures: EngineGroupFigures,
-    ): Survey {
-        val states = states(servers)
-        // Servers that have left still report the formation in which they were.
-        val newest = states.maxOfOrNull { it.epoch }
-        val open = states.filter { it.isOpen && it.epoch == newest }
-        val size = open.firstOrNull()?.size ?: return Survey.INCOMPLETE
-        val ordered = open.sortedBy { it.rank }
-        if (ordered.map { it.rank } != (0 until size).toList()) {
-            state.log.log("group_incomplete", "service" to service, "ranks" to open.size, "size" to size)
-            return Survey.INCOMPLETE
+    ) {
+        val formations = GroupFormation.of(switches.states(servers))
+        coroutineScope {
+            formations.forEach { formation ->
+                val key = GroupKey(service, formation.group)
+                // A rank that has joined a later formation shows that the known one has ended.
+                groups[key]?.takeIf { it.epoch < formation.epoch }?.let(::forget)
+                if (formation.isComplete) {
+                    incomplete.remove(key)
+                    launch { meet(key, formation, servers, figures) }
+                } else if (incomplete.put(key, formation.ranks.size) != formation.ranks.size) {
+                    state.log.log(
+                        "group_incomplete",
+                        "service" to service,
+                        "group" to formation.group,
+                        "epoch" to formation.epoch,
+                        "ranks" to formation.ranks.size,
+                        "size" to formation.ranks.firstOrNull()?.size,
+                    )
+                }
+            }
         }
+    }
+
+    /** Reads which experts the ranks of a complete [formation] hold and begins to keep its map. */
+    private suspend fun meet(
+        key: GroupKey,
+        formation: GroupFormation,
+        servers: List<BackendServer>,
+        figures: EngineGroupFigures,
+    ) {
         val byName = servers.associateBy { it.name }
-        val members = ordered.mapNotNull { byName[it.server] }
+        val members = formation.ranks.mapNotNull { byName[it.server] }
         val holdings = coroutineScope { members.map { async { control.holdings(it) } }.awaitAll() }.filterNotNull()
-        if (holdings.size != size || holdings.distinctBy { it.mapVersion }.size != 1) return Survey.INCOMPLETE
-        view.ranks = members
-        view.epoch = ordered.first().epoch
-        view.map =
+        if (holdings.size != formation.ranks.size || holdings.distinctBy { it.mapVersion }.size != 1) return
+        val map =
             ReplicaMap(
                 (0 until figures.layerSets)
                     .map { set -> holdings.map { it.experts[set].toImmutableSet() }.toImmutableList() }
                     .toImmutableList(),
             )
-        view.highestVersion = maxOf(holdings.first().mapVersion, ordered.maxOf { it.preparedVersion ?: 0 })
+        val view =
+            GroupView(
+                service = key.service,
+                group = formation.group,
+                epoch = formation.epoch,
+                ranks = members,
+                map = map,
+                highestVersion = maxOf(holdings.first().mapVersion, formation.ranks.maxOf { it.preparedVersion ?: 0 }),
+            )
         state.log.log(
             "group_surveyed",
-            "service" to service,
-            "ranks" to size,
+            "service" to key.service,
+            "group" to formation.group,
+            "ranks" to members.size,
             "epoch" to view.epoch,
             "map" to holdings.first().mapVersion,
-            "pass" to ordered.first().pass,
+            "pass" to formation.ranks.first().pass,
         )
-        return if (ordered.any { it.heldPass != null }) Survey.HELD else Survey.FREE
+        // The group writes nothing until it is released, so its silence need not be awaited.
+        if (formation.ranks.any { it.heldPass != null }) return takeOver(view)
+        // The first look then sees what was chosen since, and need not wait for a sample.
+        read(view, figures)
+        view.counter.restart()
+        view.undecidedAt = ProcessClock.monotonic()
+        if (leadership.role == MapRole.KEEPS) groups[key] = view
     }
 
-    private suspend fun states(servers: List<BackendServer>): List<RankState> =
-        coroutineScope { servers.map { async { control.state(it) } }.awaitAll() }.filterNotNull()
-
     private suspend fun read(
         view: GroupView,
         figures: EngineGroupFigures,
@@ -215,14 +265,13 @@
 
     /** Plans and makes a change that is worth it. */
     private suspend fun improve(
-        service: ServiceName,
         view: GroupView,
         figures: EngineGroupFigures,
     ): Improvement {
-        val map = view.map ?: return Improvement.UNDECIDED
+        val map = view.map
         val popularity = view.counter.popularity()
         if (popularity == null || view.counter.evidence < LEAST_EVIDENCE) {
-            state.log.log("map_undecided", "service" to service, "evidence" to view.counter.evidence.toLong())
+            state.log.log("map_undecided", "group" to view.group, "evidence" to view.counter.evidence.toLong())
             return Improvement.UNDECIDED
         }
         val planner =
@@ -232,129 +281,60 @@
         val before = map.imbalance(popularity)
         val after = planned.imbalance(popularity)
         if (before - after < LEAST_GAIN) {
-            state.log.log("map_kept", "service" to service, "imbalance" to rounded(before), "planned" to rounded(after))
+            state.log.log(
+                "map_kept",
+                "group" to view.group,
+                "imbalance" to rounded(before),
+                "planned" to rounded(after),
+            )
             return Improvement.NOT_NEEDED
         }
         val copies = planned.copiesAfter(map)
         state.log.log(
             "map_planned",
-            "service" to service,
+            "service" to view.service,
+            "group" to view.group,
             "imbalance" to rounded(before),
             "planned" to rounded(after),
             "copies" to copies.sum(),
             "evidence" to view.counter.evidence.toLong(),
             "planning_ms" to (ProcessClock.monotonic() - began).inWholeMilliseconds,
         )
-        change(service, view, planned, copyTime = figures.copyTime * copies.max())
+        change(view, planned, copyTime = figures.copyTime * copies.max())
         return Improvement.CHANGED
     }
 
     private suspend fun change(
-        service: ServiceName,
         view: GroupView,
         planned: ReplicaMap,
         copyTime: Duration,
     ) {
-        val states = states(view.ranks).sortedBy { it.rank }
-        if (states.size != view.ranks.size || states.any { it.epoch != view.epoch }) return view.forget()
+        val states = switches.states(view.ranks).sortedBy { it.rank }
+        if (states.size != view.ranks.size || states.any { it.epoch != view.epoch }) return forget(view)
         view.highestVersion = maxOf(view.highestVersion, states.maxOf { maxOf(it.mapVersion, it.preparedVersion ?: 0) })
         // Two processes that begin at once must not give two maps one version.
         val version = view.highestVersion + 1 + random.nextInt(VERSION_SPREAD)
         view.highestVersion = version
         val switch = MapSwitch.begin(states, version, planned, ProcessClock.monotonic(), switchSettings)
-        run(service, view, switch, version, copyTime)
-        if (switch.phase == MapSwitchPhase.DONE) view.map = planned else view.forget()
+        switches.run(view, switch, version, copyTime)
+        if (switch.phase == MapSwitchPhase.DONE) view.map = planned else forget(view)
     }
 
-    private suspend fun takeOver(
-        service: ServiceName,
-        view: GroupView,
-    ) {
+    private suspend fun takeOver(view: GroupView) {
         // Reports lag; what the other process ordered last shows after this time.
         delay(switchSettings.reportLag)
-        val states = states(view.ranks).sortedBy { it.rank }
-        if (states.size != view.ranks.size) return view.forget()
+        val states = switches.states(view.ranks).sortedBy { it.rank }
+        if (states.size != view.ranks.size) return forget(view)
         val switch = MapSwitch.takeOver(states, ProcessClock.monotonic(), switchSettings) ?: return
         state.log.log(
             "map_switch_taken_over",
-            "service" to service,
+            "service" to view.service,
+            "group" to view.group,
             "phase" to switch.phase,
             "pass" to switch.switchPass,
         )
-        run(service, view, switch, version = 0, copyTime = Duration.ZERO)
-        view.forget()
-    }
-
-    private suspend fun run(
-        service: ServiceName,
-        view: GroupView,
-        switch: MapSwitch,
-        version: Long,
-        copyTime: Duration,
-    ) {
-        val began = ProcessClock.monotonic()
-        fence = maxOf(fence + FENCES_PER_SWITCH, ProcessClock.wall().milliseconds)
-        var phase = switch.phase
-        var armed: Duration? = null
-        var waitedForCopies = false
-        coroutineScope {
-            while (!switch.isOver && ProcessClock.monotonic() - began < LONGEST_SWITCH) {
-                switch.due(ProcessClock.monotonic()).forEach { due ->
-                    launch {
-                        val server = view.ranks[due.rank]
-                        val number = if (due.takesBack) fence + 1 else fence
-                        val answer = control.order(server, due.order, view.epoch, number)
-                        switch.answered(due.rank, due.order, answer, ProcessClock.monotonic())
-                    }
-                }
-                if (switch.phase != phase) {
-                    phase = switch.phase
-                    if (phase == MapSwitchPhase.HOLDING) armed = ProcessClock.monotonic() - began
-                }
-                delay(STEP_POLL)
-                if (switch.awaitsReport) {
-                    switch.reported(states(view.ranks), ProcessClock.monotonic())
-                    delay(REPORT_POLL)
-                }
-                if (switch.awaitsCopies) {
-                    delay(if (waitedForCopies) COPY_POLL else copyTime * COPY_TIME_MARGIN)
-                    waitedForCopies = true
-                    findCopied(view, switch, version)
-                }
-            }
-        }
-        state.log.log(
-            "map_switched",
-            "service" to service,
-            "version" to version,
-            "outcome" to switch.phase,
-            "epoch" to view.epoch,
-            "fence" to fence,
-            "pass" to switch.switchPass,
-            "prepared_ms" to armed?.inWholeMilliseconds,
-            "total_ms" to (ProcessClock.monotonic() - began).inWholeMilliseconds,
-        )
-    }
-
-    private suspend fun findCopied(
-        view: GroupView,
-        switch: MapSwitch,
-        version: Long,
-    ) = coroutineScope {
-        switch.copying.forEach { rank ->
-            launch {
-                if (control.holdings(view.ranks[rank])?.preparedVersion == version) switch.copied(rank)
-            }
-        }
-    }
-
-    private enum class Survey {
-        /** Not all ranks of one formation have answered. */
-        INCOMPLETE,
-
-        /** A rank keeps the group from going on. */
-        HELD,
-        FREE,
+        switches.run(view, switch, version = 0, copyTime = Duration.ZERO)
+        forget(view)
     }
 
     private enum class Improvement {
@@ -365,27 +345,11 @@
         UNDECIDED,
     }
 
-    private class GroupView {
-        var ranks: List<BackendServer> = emptyList()
-        var epoch = 0L
-        var map: ReplicaMap? = null
-        var highestVersion = 0L
-
-        var lookedAt = MonotonicTime(Long.MIN_VALUE / 2)
-
-        /** Time of the last look if it showed too little to decide. */
-        var undecidedAt: MonotonicTime? = null
-        val counter = ChoiceCounter()
-        val pace = PaceWatch()
-
-        val isStale: Boolean get() = map == null
-
-        fun forget() {
-            map = null
-            undecidedAt = null
-            counter.reset()
-        }
-    }
+    /** Names a group; without [group], the survey of all groups of [service]. */
+    private data class GroupKey(
+        val service: ServiceName,
+        val group: GroupName?,
+    )
 
     private companion object {
         /** Time between looks at the pace of groups; popularity shifts every few seconds. */
@@ -415,28 +379,10 @@
         /** Least gain in the load of the most loaded rank, in means, that is worth the copies and orders. */
         const val LEAST_GAIN = 0.2
 
-        /** Fencing numbers of one switch: one to order it and one to take it back. */
-        const val FENCES_PER_SWITCH = 2
-
         /** Imbalances are logged to a thousandth. */
         const val ROUNDING = 1_000.0
 
         /** Versions of one change are drawn from so many, so that two processes hardly ever draw the same. */
         const val VERSION_SPREAD = 1_000
-
-        /** Interval between looks at the copying ranks, about the time of one more copy. */
-        val COPY_POLL = 60.milliseconds
-
-        /** Copies take a little longer than the link alone needs. */
-        const val COPY_TIME_MARGIN = 1.05
-
-        /** Interval between reports while the answer to an order is in doubt. */
-        val REPORT_POLL = 60.milliseconds
-
-        /** Interval between steps of a switch; a held group waits for it. */
-        val STEP_POLL = 3.milliseconds
-
-        /** A switch that takes longer has lost its ranks; the next look finds what it left. */
-        val LONGEST_SWITCH = 15.seconds
     }
 }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
@@ -111,7 +111,7 @@
             rooms = RoomFinder(state, settings.sharedLimits),
             headers = headers,
             metrics = metrics,
-            onPause = { service, pause, now -> groupKeeper?.paused(service, pause, now) },
+            onPause = { server, pause, now -> groupKeeper?.paused(server, pause, now) },
         )
     private var groupKeeper: GroupKeeper? = null
     private val callers = listenerState(forwarder)
--- a/forward/src/test/kotlin/io/kumquattrail/forward/expert/GroupKeeperSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/expert/GroupKeeperSpec.kt
@@ -9,6 +9,7 @@
 import io.kumquattrail.decision.expert.replica.RankChoices
 import io.kumquattrail.decision.expert.replica.RankOrder
 import io.kumquattrail.decision.expert.replica.RankState
+import io.kumquattrail.decision.identity.GroupName
 import io.kumquattrail.decision.identity.ProcessName
 import io.kumquattrail.decision.identity.ServerName
 import io.kumquattrail.decision.identity.ServiceName
@@ -42,7 +43,7 @@
     override suspend fun state(server: BackendServer) =
         RankState(
             server = server.name,
-            group = "g",
+            group = GroupName("g"),
             epoch = 1,
             rank = server.port,
             size = 2,
@@ -117,7 +118,54 @@
     }
 }
 
-private fun gatewayState(): GatewayState {
+/** Groups of two ranks each; the second rank of every group has all the load. */
+private class SeveralUnevenGroups : RankControl {
+    private val chosen = HashMap<String, LongArray>()
+    val prepared = HashSet<GroupName>()
+
+    private fun group(server: BackendServer) = GroupName("g${server.port / 2}")
+
+    override suspend fun state(server: BackendServer) =
+        RankState(
+            server = server.name,
+            group = group(server),
+            epoch = 1L + server.port / 2,
+            rank = server.port % 2,
+            size = 2,
+            isOpen = true,
+            pass = 6,
+            mapVersion = 0,
+        )
+
+    override suspend fun holdings(server: BackendServer) =
+        RankHoldings(
+            epoch = 1L + server.port / 2,
+            mapVersion = 0,
+            preparedVersion = null,
+            experts = listOf(setOf(server.port % 2, server.port % 2 + 2)),
+        )
+
+    override suspend fun choices(
+        server: BackendServer,
+        figures: EngineGroupFigures,
+    ): RankChoices {
+        val counts = chosen.getOrPut(server.name.value) { LongArray(4) }
+        listOf(1, 3).forEach { counts[it] += 100_000L }
+        return RankChoices(server.name, epoch = 1L + server.port / 2, choices = listOf(counts.copyOf()))
+    }
+
+    override suspend fun order(
+        server: BackendServer,
+        order: RankOrder,
+        epoch: Long,
+        fence: Long,
+    ): OrderAnswer {
+        if (order is RankOrder.Prepare) prepared += group(server)
+        return OrderAnswer.ACCEPTED
+    }
+}
+
+private fun gatewayState(serverCount: Int = 2): GatewayState {
     val state = GatewayState(ProcessName("127.0.0.1:1"), ZoneName("a"), EventLog(ByteArrayOutputStream()))
     val engine = EngineFigures(8, 1_000, 1.milliseconds, 1.milliseconds, 1.0, 1, 1, group = FIGURES)
     state.publish(
@@ -128,7 +176,17 @@
         ),
         source = "test",
     )
-    val servers = (0..1).map { BackendServer(ServerName("s$it"), SERVICE, "127.0.0.1", it, ZoneName("a"), slots = 8) }
+    val servers =
+        (0 until serverCount).map {
+            BackendServer(
+                ServerName("s$it"),
+                SERVICE,
+                "127.0.0.1",
+                it,
+                ZoneName("a"),
+                slots = 8,
+            )
+        }
     state.serversListed(servers, version = 1)
     return state
 }
@@ -146,7 +204,7 @@
                         val found =
                             withTimeoutOrNull(3.seconds) {
                                 while (control.prepared.get() == 0) {
-                                    keeper.paused(SERVICE, 180.milliseconds, ProcessClock.monotonic())
+                                    keeper.paused(ServerName("s1"), 180.milliseconds, ProcessClock.monotonic())
                                     delay(20)
                                 }
                                 true
@@ -158,6 +216,27 @@
             }
         }
 
+        describe("a service whose servers form several groups") {
+            it("has the map of each group changed, as ranks 0 of two groups are no ranks of one") {
+                val control = SeveralUnevenGroups()
+                runBlocking {
+                    val keeping = Job()
+                    val keeper = GroupKeeper(gatewayState(serverCount = 4), control, peers = { emptyList() })
+                    keeper.start(CoroutineScope(coroutineContext + keeping))
+                    withTimeoutOrNull(5.seconds) {
+                        while (control.prepared.size < 2) {
+                            listOf("s1", "s3").forEach {
+                                keeper.paused(ServerName(it), 180.milliseconds, ProcessClock.monotonic())
+                            }
+                            delay(20)
+                        }
+                    }
+                    keeping.cancel()
+                }
+                control.prepared shouldBe setOf(GroupName("g0"), GroupName("g1"))
+            }
+        }
+
         describe("a group that a gateway has left held") {
             it("is released after the survey, before any silence of the group is noticed") {
                 val control = HeldGroup()
