--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/PaceWatch.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/PaceWatch.kt
@@ -66,6 +66,12 @@
         return present > tolerated && present > known * slowdown
     }
 
+    /** Tells whether pauses are longer than [tolerated] now. */
+    fun exceeds(
+        tolerated: Duration,
+        now: MonotonicTime,
+    ): Boolean = present(now)?.let { it > tolerated } ?: false
+
     private fun present(now: MonotonicTime): Duration? {
         while (pauses.isNotEmpty() && now - pauses.first().at > window) pauses.removeFirst()
         if (pauses.size < LEAST_PAUSES) return null
--- a/decision/src/test/kotlin/io/kumquattrail/decision/expert/replica/PaceWatchSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/expert/replica/PaceWatchSpec.kt
@@ -72,6 +72,14 @@
                 watch.hasSlowed(tolerated = 60.milliseconds, now = start + 1_300.milliseconds) shouldBe true
             }
 
+            it("gives no reason for a regular look while callers lose nothing, as every look has a price") {
+                val watch = PaceWatch()
+                watch.write(from = 0, until = 1_000, pause = 70)
+                watch.exceeds(tolerated = 78.milliseconds, now = start + 1.seconds) shouldBe false
+                watch.write(from = 1_000, until = 1_300, pause = 90)
+                watch.exceeds(tolerated = 78.milliseconds, now = start + 1_300.milliseconds) shouldBe true
+            }
+
             it("is left alone while its pauses are well within what callers need") {
                 val watch = PaceWatch()
                 watch.write(from = 0, until = 1_000, pause = 20)
--- a/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
@@ -130,9 +130,15 @@
     ) {
         val now = ProcessClock.monotonic()
         if (view.undecidedAt?.let { now - it < UNDECIDED_PAUSE } == true) return
-        val slowed = view.pace.hasSlowed(tolerated = toleratedPause(view.service), now = now)
+        val tolerated = toleratedPause(view.service)
+        val slowed = view.pace.hasSlowed(tolerated = tolerated, now = now)
         // A look that showed too little is repeated; its counts go on, so that they add up.
-        val isDue = (now - view.lookedAt >= LONGEST_INTERVAL || view.undecidedAt != null) && view.pace.isObserved
+        val isDue =
+            if (view.undecidedAt != null) {
+                view.pace.isObserved
+            } else {
+                now - view.lookedAt >= LONGEST_INTERVAL && view.pace.exceeds(tolerated, now)
+            }
         // A held or broken group writes nothing, so silence with work in progress is worth a look, too.
         val isSilent = !view.pace.isObserved && now - view.lookedAt >= SILENT_INTERVAL && hasWork(view)
         if (!slowed && !isDue && !isSilent) return
@@ -355,7 +361,7 @@
         /** Time between looks at the pace of groups; popularity shifts every few seconds. */
         val INTERVAL = 50.milliseconds
 
-        /** Time after which counts are read without any sign of a shift. */
+        /** Time after which counts are read without any sign of a shift, in a group that does not satisfy its callers. */
         val LONGEST_INTERVAL = 4.seconds
 
         /** Silence of a group with work after which its state is read; several passes of a slow group. */
@@ -368,7 +374,7 @@
         val UNDECIDED_PAUSE = 250.milliseconds
 
         /** Ranks whose counts are read in a round. Counts read from another VM pause the group for a moment. */
-        const val SAMPLED_RANKS = 4
+        const val SAMPLED_RANKS = 2
 
         /** Time between attempts to find a complete group; one forms anew in seconds. */
         val SURVEY_PAUSE = 300.milliseconds
