--- a/decision/src/main/kotlin/io/kumquattrail/decision/catalogue/BackendServer.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/catalogue/BackendServer.kt
@@ -12,6 +12,7 @@
  * @property slots requests that the server works on at once.
  * @property draining whether the server has said that it is leaving.
  * @property coldUntil time until which the server says that it is cold, on this process's clock.
+ * @property revision the registry's revision at which it registered.
  */
 data class BackendServer(
     val name: ServerName,
@@ -22,4 +23,5 @@
     val slots: Int,
     val draining: Boolean = false,
     val coldUntil: MonotonicTime = MonotonicTime(Long.MIN_VALUE),
+    val revision: Long = 0,
 )
--- a/decision/src/main/kotlin/io/kumquattrail/decision/delivery/EventStreamCursor.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/delivery/EventStreamCursor.kt
@@ -48,6 +48,9 @@
     private var buffer = ByteArray(INITIAL_BYTES)
     private var length = 0
 
+    /** Bytes that the run has sent of an event that is not complete. */
+    val partialBytes: Int get() = length
+
     /** Whether the run has sent a part of an event that is not complete. */
     val hasPartialEvent: Boolean get() = length > 0
 
--- a/decision/src/main/kotlin/io/kumquattrail/decision/placement/EvenPlacement.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/placement/EvenPlacement.kt
@@ -4,6 +4,7 @@
 import io.kumquattrail.decision.identity.ServerName
 import io.kumquattrail.decision.identity.ZoneName
 import io.kumquattrail.decision.time.MonotonicTime
+import kotlin.time.Duration
 
 /**
  * Weighs what placement considers besides the free slots.
@@ -28,6 +29,11 @@
     /** Servers exist, but none has room now. */
     data object AllFull : PlacementDecision
 
+    /** Servers exist, but their groups refuse all requests until they have formed anew, probably in [returnsIn]. */
+    data class GroupsRefuse(
+        val returnsIn: Duration,
+    ) : PlacementDecision
+
     /** No server of the service may be used. */
     data object NoServer : PlacementDecision
 }
@@ -43,6 +49,7 @@
 class EvenPlacement(
     private val loads: LoadTable,
     private val ownZone: ZoneName,
+    private val groups: GroupProgress = GroupProgress(),
     private val settings: EvenPlacementSettings = EvenPlacementSettings(),
 ) {
     /**
@@ -59,15 +66,20 @@
         hasRate: (BackendServer) -> Boolean = { true },
     ): PlacementDecision {
         val candidates = servers.filter { it.name !in excluded }.ifEmpty { return PlacementDecision.NoServer }
+        val accepting = candidates.filterNot { groups.refuses(it.name, now) }
+        if (accepting.isEmpty()) {
+            return PlacementDecision.GroupsRefuse(checkNotNull(groups.returnsIn(candidates.map { it.name }, now)))
+        }
         // Each count sums over all peers, so it is taken once a server.
         val open =
-            candidates
+            accepting
                 .map { PlacementDecision.Place(server = it, inProgress = loads.inProgress(it.name, now)) }
                 .filter { (server, inProgress) ->
                     inProgress < server.slots && !loads.isReportedFull(server.name, now) && hasRate(server)
                 }
         if (open.isEmpty()) return PlacementDecision.AllFull
-        val preferred = open.filterNot { loads.health(it.server.name).isAvoided(now) }.ifEmpty { open }
+        val working = open.filterNot { groups.isStalled(it.server.name, now) }.ifEmpty { open }
+        val preferred = working.filterNot { loads.health(it.server.name).isAvoided(now) }.ifEmpty { working }
         val start = Math.floorMod(tieBreak, preferred.size)
         val rotated = preferred.drop(start) + preferred.take(start)
         return rotated.minBy { burden(it, now) }
--- a/decision/src/test/kotlin/io/kumquattrail/decision/catalogue/ServerCatalogueSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/catalogue/ServerCatalogueSpec.kt
@@ -17,6 +17,7 @@
     name: String,
     zone: String = "a",
     draining: Boolean = false,
+    revision: Long = 0,
 ) = BackendServer(
     name = ServerName(name),
     service = SERVICE,
@@ -25,6 +26,7 @@
     zone = ZoneName(zone),
     slots = 8,
     draining = draining,
+    revision = revision,
 )
 
 class ServerCatalogueSpec :
@@ -52,6 +54,46 @@
             }
         }
 
+        describe("a process that has started and listed an older copy of the registry") {
+            it("does not use a server that peers know to have left at a later revision") {
+                val catalogue = catalogue()
+                catalogue.leftElsewhere(mapOf(ServerName("s1") to 5L), start)
+                catalogue.usableNames() shouldContainExactly listOf("s2")
+            }
+
+            it("does not use it either when the peers were heard before the list") {
+                val catalogue = ServerCatalogue()
+                catalogue.leftElsewhere(mapOf(ServerName("s1") to 5L), start)
+                catalogue.replaced(listOf(server("s1", revision = 4), server("s2")), start)
+                catalogue.usableNames() shouldContainExactly listOf("s2")
+            }
+
+            it("uses one that has registered again since") {
+                val catalogue = ServerCatalogue()
+                catalogue.replaced(listOf(server("s1", revision = 6)), start)
+                catalogue.leftElsewhere(mapOf(ServerName("s1") to 5L), start)
+                catalogue.usableNames() shouldContainExactly listOf("s1")
+            }
+        }
+
+        describe("a registry that has come back from an older copy") {
+            it("keeps a server that the copy lacks until living servers have registered again") {
+                val catalogue = catalogue()
+                catalogue.rolledBack(listOf(server("s2", zone = "b")), start, revision = 1)
+                catalogue.usableNames() shouldContainExactly listOf("s1", "s2")
+                catalogue.expireLapsed(start + 3.seconds)
+                catalogue.usableNames() shouldContainExactly listOf("s2")
+            }
+
+            it("is believed again in what it lists after the servers have written") {
+                val catalogue = ServerCatalogue()
+                catalogue.replaced(listOf(server("s1", revision = 90)), start)
+                catalogue.rolledBack(listOf(server("s1", revision = 10)), start, revision = 50)
+                catalogue.replaced(listOf(server("s1", draining = true, revision = 55)), start)
+                catalogue.usableNames().shouldBeEmpty()
+            }
+        }
+
         describe("after an outage of the registry") {
             it("a living server whose registration lapsed keeps its work until it has registered again") {
                 val catalogue = catalogue()
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/Call.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/Call.kt
@@ -1,6 +1,7 @@
 package io.kumquattrail.forward.call
 
 import io.kumquattrail.decision.delivery.EventStreamCursor
+import io.kumquattrail.decision.delivery.StreamPatience
 import io.kumquattrail.decision.identity.ServerName
 import io.kumquattrail.decision.identity.ServiceName
 import io.kumquattrail.decision.route.Route
@@ -38,6 +39,9 @@
     /** Whether a server refused it because another rank of its group has failed. */
     var metBrokenGroup = false
 
+    /** Judges whether the stream has stalled. */
+    val patience = StreamPatience()
+
     /** Time of the last event of the stream; `null` before the first. */
     var lastEventAt: MonotonicTime? = null
 
@@ -83,11 +87,13 @@
      *
      * @property reply the server's own failure, which the caller gets if there is no other attempt.
      * @property faultyServer address of another server that caused the failure, as the server named it.
+     * @property mayRepeat whether the retry budget has already been asked for another attempt, and allows it.
      */
     data class Failed(
         val kind: FailureKind,
         val reason: String,
         val reply: HttpReply? = null,
         val faultyServer: String? = null,
+        val mayRepeat: Boolean = false,
     ) : AttemptOutcome
 }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -38,14 +38,17 @@
     private val random: Random = Random.Default,
 ) : CallerRequestHandler {
     private val translation = RequestTranslation(headers)
-    private val pauses = StreamPauses(log = state.log, onPause = onPause, random = random)
+    private val pauses =
+        StreamPauses(log = state.log, onEvent = state.groups::progressed, onPause = onPause, random = random)
 
     override suspend fun handle(exchange: CallerExchange) {
         val request = exchange.request
         val requestId = request.headers.get(headers.requestId)
         if (state.refusesNewRequests) return refuse(exchange, requestId, 503, "stopping", STOPPING_RETRY)
         val configuration =
-            state.configuration ?: return refuse(exchange, requestId, 503, "no_configuration", STARTING_RETRY)
+            // A store may have come back from an older copy, with keys that were withdrawn; peers know better.
+            state.configuration?.takeIf { state.peersAsked }
+                ?: return refuse(exchange, requestId, 503, "no_configuration", STARTING_RETRY)
         val decision =
             access.decide(
                 configuration = configuration,
@@ -236,8 +239,28 @@
         response: AttemptStart.Answering,
     ): AttemptOutcome {
         call.cursor.nextRun()
+        state.groups.streamBegan(server.name)
+        try {
+            return deliverEvents(call, server, attempt, response)
+        } finally {
+            state.groups.streamEnded(server.name)
+        }
+    }
+
+    private suspend fun deliverEvents(
+        call: Call,
+        server: BackendServer,
+        attempt: ServerAttempt,
+        response: AttemptStart.Answering,
+    ): AttemptOutcome {
+        val began = ProcessClock.monotonic()
         while (true) {
-            when (val part = attempt.next(call.deadline - ProcessClock.monotonic())) {
+            val now = ProcessClock.monotonic()
+            // Bytes of an event that is not complete are no progress.
+            val stallsAt = maxOf(began, call.lastEventAt ?: began) + call.patience.limit
+            val mayMove = now < stallsAt && call.route.repeatable && call.runs + 1 < call.route.maximumAttempts
+            val until = if (mayMove) minOf(stallsAt, call.deadline) else call.deadline
+            when (val part = attempt.next(until - now)) {
                 is ResponsePart.Body -> {
                     val fault = passOn(call, server.name, response, part.bytes)
                     if (fault != null) return broken(call, fault)
@@ -259,13 +282,17 @@
                 }
 
                 null -> {
-                    return broken(call, "no event in time")
+                    // Without a retry to spend, the stream may still go on where it is.
+                    if (mayMove && rooms.mayRepeat(call.service, ProcessClock.monotonic())) {
+                        return AttemptOutcome.Failed(FailureKind.MAY_HAVE_RUN, "stream stalled", mayRepeat = true)
+                    }
+                    if (!mayMove) return broken(call, "no event in time")
                 }
             }
         }
     }
 
-    private fun passOn(
+    private suspend fun passOn(
         call: Call,
         server: ServerName,
         response: AttemptStart.Answering,
@@ -291,7 +318,8 @@
                 }
             }
         }
-        return null
+        val partial = call.cursor.partialBytes
+        return if (partial > pool.limits.eventBytes) "event of more than $partial bytes" else null
     }
 
     private fun mayRetry(
@@ -304,7 +332,8 @@
         }
         if (call.sendings >= call.route.maximumAttempts + EXTRA_SENDINGS) return false
         // A request that was never sent is no second arrival at a server.
-        return failure.kind == FailureKind.NOT_SENT || rooms.mayRepeat(call.service, ProcessClock.monotonic())
+        return failure.kind == FailureKind.NOT_SENT || failure.mayRepeat ||
+            rooms.mayRepeat(call.service, ProcessClock.monotonic())
     }
 
     private fun fail(
@@ -327,7 +356,11 @@
     private fun retryAfter(
         call: Call,
         usual: Duration,
-    ): Duration = if (call.metBrokenGroup) GROUP_RETRY * (1 + GROUP_SPREAD * random.nextDouble()) else usual
+    ): Duration {
+        if (!call.metBrokenGroup) return usual
+        val returnsIn = state.groups.returnsIn(call.tried, ProcessClock.monotonic()) ?: GROUP_RETRY
+        return returnsIn * (1 + GROUP_SPREAD * random.nextDouble())
+    }
 
     private fun giveUp(
         call: Call,
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/RoomFinder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/RoomFinder.kt
@@ -55,7 +55,7 @@
     private val state: GatewayState,
     private val limits: SharedLimits,
 ) {
-    private val placement = EvenPlacement(loads = state.loads, ownZone = state.zone)
+    private val placement = EvenPlacement(loads = state.loads, ownZone = state.zone, groups = state.groups)
     private val coldRate = ColdRateLimit(state.allowance)
     private val lines = HashMap<ServiceName, ServiceLine>()
 
@@ -72,31 +72,50 @@
         val line = line(call.service)
         if (call.sendings == 0) line.budget.recordFresh(now)
         val tieBreak = random.nextInt(Int.MAX_VALUE)
-        if (line.waiting.size == 0) {
+        // A caller that has a part of its stream loses all of it if the rest does not come.
+        val isResumed = call.exchange.isStarted
+        if (line.waiting.size == 0 || isResumed) {
             when (val decision = choose(call, now, tieBreak)) {
                 is PlacementDecision.Place -> return Room.At(decision.server)
+                is PlacementDecision.GroupsRefuse -> if (!isResumed) return refused(decision, random)
                 PlacementDecision.NoServer -> return Room.Refused("no_server", NO_SERVER_RETRY, waiting = 0)
                 PlacementDecision.AllFull -> Unit
             }
         }
-        val latestStart = minOf(call.exchange.arrived + call.route.latencyTarget * START_SHARE, call.deadline)
+        val startWithin = if (isResumed) now + RESUME_WITHIN else call.exchange.arrived + onTimeStart(call)
+        val latestStart = minOf(startWithin, call.deadline)
+        if (isResumed) return wait(line, call, RESUMED_PRIORITY, latestStart, now, tieBreak)
         return when (val decision = line.waiting.decide(call.priority, latestStart, now, random.nextDouble())) {
             is WaitingDecision.Refuse -> {
                 Room.Refused("overloaded", decision.retryAfter, line.waiting.size, decision.expectedWait)
             }
 
             WaitingDecision.Wait -> {
-                wait(line, call, latestStart, now, tieBreak)
+                wait(line, call, call.priority, latestStart, now, tieBreak)
             }
         }
     }
 
+    private fun onTimeStart(call: Call): Duration = call.route.latencyTarget * START_SHARE
+
+    private fun refused(
+        decision: PlacementDecision.GroupsRefuse,
+        random: Random,
+    ): Room =
+        Room.Refused(
+            reason = "groups_refuse",
+            // Callers that return together would meet in one pass.
+            retryAfter = decision.returnsIn * (1 + RETURN_SPREAD * random.nextDouble()),
+            waiting = 0,
+        )
+
     /** Records that a call is sent to [server]. */
     fun sending(
         server: BackendServer,
         now: MonotonicTime,
     ) {
         state.loads.started(server.name)
+        state.groups.sent(server.name, now)
         coldRate.sent(server.name, now)
     }
 
@@ -110,18 +129,28 @@
         when (outcome) {
             is AttemptOutcome.Finished -> {
                 health.succeeded(now)
+                state.groups.progressed(server.name, now)
             }
 
             is AttemptOutcome.Failed -> {
                 when (outcome.kind) {
                     FailureKind.NOT_SENT, FailureKind.OTHER_SERVER -> health.unreachable(now)
-                    FailureKind.NOT_RUN -> state.loads.reportedFull(server.name, FULL_FOR, now)
+                    FailureKind.NOT_RUN -> refused(server, outcome, now)
                     FailureKind.RAN, FailureKind.MAY_HAVE_RUN -> health.failed(now)
                 }
             }
         }
     }
 
+    private fun refused(
+        server: BackendServer,
+        outcome: AttemptOutcome.Failed,
+        now: MonotonicTime,
+    ) {
+        state.loads.reportedFull(server.name, FULL_FOR, now)
+        if (outcome.faultyServer != null) state.groups.refused(server.name, now)
+    }
+
     /** Records that an attempt at [server] has ended and serves calls that wait. */
     fun ended(
         server: BackendServer,
@@ -150,11 +179,12 @@
     private suspend fun wait(
         line: ServiceLine,
         call: Call,
+        priority: Int,
         latestStart: MonotonicTime,
         now: MonotonicTime,
         tieBreak: Int,
     ): Room {
-        val request = WaitingRequest(priority = call.priority, enteredAt = now, latestStart = latestStart)
+        val request = WaitingRequest(priority = priority, enteredAt = now, latestStart = latestStart)
         val waiter = Waiter(call = call, tieBreak = tieBreak)
         line.waiting.enter(request)
         line.waiters[request] = waiter
@@ -191,7 +221,7 @@
                     return
                 }
 
-                PlacementDecision.NoServer -> {
+                is PlacementDecision.GroupsRefuse, PlacementDecision.NoServer -> {
                     Unit
                 }
             }
@@ -243,6 +273,15 @@
         /** Share of the latency target that a request may spend waiting; the rest is for reading its prompt. */
         const val START_SHARE = 0.6
 
+        /** Time for which a stream that has broken off waits for room; callers leave after two seconds of silence. */
+        val RESUME_WITHIN = 1_200.milliseconds
+
+        /** Rank of a stream that has broken off, before all others. */
+        const val RESUMED_PRIORITY = -1
+
+        /** Share of the time to return over which callers are spread. */
+        const val RETURN_SPREAD = 0.2
+
         /** Share of the retry ratio that is used, as windows of processes and of the platform differ. */
         const val BUDGET_MARGIN = 0.8
 
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/ServerAttempt.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/ServerAttempt.kt
@@ -5,12 +5,11 @@
 import io.kumquattrail.forward.http.HttpMessage
 import io.kumquattrail.forward.http.NetworkAddress
 import io.kumquattrail.forward.http.ResponsePart
+import io.kumquattrail.forward.http.ResponseParts
 import io.kumquattrail.forward.http.ServerConnection
 import io.kumquattrail.forward.http.ServerConnectionPool
 import io.netty.handler.codec.http.HttpHeaderNames
-import kotlinx.coroutines.channels.ReceiveChannel
 import kotlinx.coroutines.withTimeoutOrNull
-import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -65,7 +64,7 @@
 ) {
     private val address = NetworkAddress(host = server.host, port = server.port)
     private var connection: ServerConnection? = null
-    private var parts: ReceiveChannel<ResponsePart>? = null
+    private var parts: ResponseParts? = null
 
     /** Connects, sends [message] and waits up to [patience] for the head of the response. */
     suspend fun start(
@@ -80,7 +79,7 @@
         connection = opened
         val received = opened.send(message, requestId)
         parts = received
-        val first = withTimeoutOrNull(patience) { received.receiveCatching().getOrNull() }
+        val first = withTimeoutOrNull(patience) { received.next() }
         return when (first) {
             null -> AttemptStart.Silent
             is ResponsePart.Head -> classify(first)
@@ -92,23 +91,24 @@
     /** Returns the next part of the body, or `null` when none arrives within [patience]. */
     suspend fun next(patience: Duration): ResponsePart? {
         val received = parts ?: return ResponsePart.Broken("attempt is closed")
-        return withTimeoutOrNull(patience) {
-            received.receiveCatching().getOrNull() ?: ResponsePart.Broken("connection closed")
-        }
+        return withTimeoutOrNull(patience) { received.next() }
     }
 
     /** Reads the complete body, or returns `null` with a reason in [onBroken] when it is broken off. */
-    suspend fun readBody(onBroken: (String) -> Unit): ByteArray? {
-        val body = ByteArrayOutputStream()
-        while (true) {
-            when (val part = next(Duration.INFINITE)) {
-                is ResponsePart.Body -> body.write(part.bytes)
-                ResponsePart.End -> return body.toByteArray()
-                is ResponsePart.Broken -> return null.also { onBroken(part.reason) }
-                is ResponsePart.Head, null -> return null.also { onBroken("second head") }
+    suspend fun readBody(onBroken: (String) -> Unit): ByteArray? =
+        pool.collected.Body().use { body ->
+            var fault: String? = null
+            while (fault == null) {
+                when (val part = next(Duration.INFINITE)) {
+                    is ResponsePart.Body -> if (!body.add(part.bytes)) fault = "response is too long"
+                    ResponsePart.End -> return@use body.toByteArray()
+                    is ResponsePart.Broken -> fault = part.reason
+                    is ResponsePart.Head, null -> fault = "second head"
+                }
             }
+            onBroken(fault)
+            null
         }
-    }
 
     /** Ends the attempt. The connection is kept when its response is complete. */
     fun close() {
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/StreamPauses.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/StreamPauses.kt
@@ -17,6 +17,7 @@
  */
 internal class StreamPauses(
     private val log: EventLog,
+    private val onEvent: (ServerName, MonotonicTime) -> Unit,
     private val onPause: (ServerName, Duration, MonotonicTime) -> Unit,
     private val random: Random,
 ) {
@@ -47,10 +48,12 @@
         server: ServerName,
     ) {
         val now = ProcessClock.monotonic()
+        onEvent(server, now)
         val last = call.lastEventAt
         call.lastEventAt = now
         if (last == null) return
         val pause = now - last
+        call.patience.observed(pause)
         onPause(server, pause, now)
         observe(call, pause, now)
         if (pause > call.longestPause) {
--- a/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
@@ -55,6 +55,9 @@
     private val switches = MapSwitchRunner(control, state.log)
     private val groups = HashMap<GroupKey, GroupView>()
     private val incomplete = HashMap<GroupKey, Int>()
+
+    // Group that each server has reported last, also while the group is not complete.
+    private val reported = HashMap<ServerName, GroupName>()
     private val leadership = MapLeadership(state.process)
 
     // Groups, and services under their survey, on which a coroutine works. It may outlast the role of the process.
@@ -88,9 +91,15 @@
         state.keepsMaps = role == MapRole.KEEPS
         if (role != before) state.log.log("map_role", "role" to role, "before" to before)
         if (role == MapRole.FOLLOWS) groups.clear()
+        if (role == MapRole.KEEPS) state.groups.formed(knownMembers())
         return role == MapRole.KEEPS
     }
 
+    private fun knownMembers(): Map<ServerName, GroupName> {
+        reported.keys.retainAll(state.catalogue.servers.mapTo(HashSet()) { it.name })
+        return reported
+    }
+
     private fun services(): List<Pair<ServiceName, EngineGroupFigures>> =
         state.configuration
             ?.services
@@ -189,7 +198,10 @@
         servers: List<BackendServer>,
         figures: EngineGroupFigures,
     ) {
-        val formations = GroupFormation.of(switches.states(servers))
+        val states = switches.states(servers)
+        // Groups of two services may have one name.
+        states.forEach { reported[it.server] = GroupName("$service/${it.group}") }
+        val formations = GroupFormation.of(states)
         coroutineScope {
             formations.forEach { formation ->
                 val key = GroupKey(service, formation.group)
--- a/forward/src/main/kotlin/io/kumquattrail/forward/http/CallerConnection.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/http/CallerConnection.kt
@@ -7,6 +7,8 @@
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelPipeline
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
@@ -17,11 +19,14 @@
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpRequestDecoder
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseEncoder
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
@@ -50,8 +55,8 @@
     /** Closes the connections on which no request is being read or answered. */
     fun closeIdle() = connections.filter { it.isIdle }.forEach { it.close() }
 
-    /** Requests that are being answered. */
-    val requestsInProgress: Int get() = connections.count { it.isAnswering }
+    /** Requests that are being read or answered. */
+    val requestsInProgress: Int get() = connections.count { !it.isIdle }
 }
 
 /** One connection of a caller. Requests are answered one after the other, in the order of arrival. */
@@ -65,19 +70,35 @@
     private var answering: Job? = null
     private var rejected = false
     private var lastActivity = ProcessClock.monotonic()
+    private var headBegan: MonotonicTime? = null
+    private var writable = CompletableDeferred<Unit>()
 
     /** Whether a request is being answered. */
     val isAnswering: Boolean get() = answering != null
 
-    /** Whether no request is being read or answered. */
-    val isIdle: Boolean get() = answering == null && reading == null
+    /** Whether no request is being read, also not its head, or answered. */
+    val isIdle: Boolean get() = answering == null && reading == null && headBegan == null
 
-    /** Closes the connection if its caller has been silent for longer than the limits allow. */
+    /** Closes the connection if its caller has been silent, or has written at one head, for longer than limits allow. */
     fun closeIfExpired(
         now: MonotonicTime,
         limits: CallerLimits,
     ) {
-        if (!isAnswering && now - lastActivity > limits.idleTimeout) context.close()
+        if (isAnswering || rejected) return
+        if (headBegan?.let { now - it > limits.headerTimeout } ==
+            true
+        ) {
+            return reject(HttpResponseStatus.REQUEST_TIMEOUT)
+        }
+        if (now - lastActivity > limits.idleTimeout) context.close()
+    }
+
+    /** Adds the handlers of a connection to [pipeline]. */
+    fun addTo(
+        pipeline: ChannelPipeline,
+        decoder: HttpRequestDecoder,
+    ) {
+        pipeline.addLast(HeadWatch(), decoder, HttpResponseEncoder(), this)
     }
 
     /** Closes the connection. */
@@ -97,6 +118,14 @@
         state.connections.remove(this)
         waiting.clear()
         answering?.cancel()
+        writable.complete(Unit)
+    }
+
+    override fun channelWritabilityChanged(context: ChannelHandlerContext) {
+        if (context.channel().isWritable) {
+            writable.complete(Unit)
+            writable = CompletableDeferred()
+        }
     }
 
     override fun exceptionCaught(
@@ -131,6 +160,7 @@
             context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
         }
         reading = request
+        headBegan = null
         body.reset()
     }
 
@@ -154,6 +184,8 @@
             )
         val next = WaitingRequest(message = complete, keepAlive = HttpUtil.isKeepAlive(request))
         if (answering == null) answer(next) else waiting.addLast(next)
+        // A caller that sends on without waiting for answers is not read on, so that it cannot fill the memory.
+        if (waiting.size >= MAXIMUM_WAITING) context.channel().config().isAutoRead = false
     }
 
     private fun reject(status: HttpResponseStatus) {
@@ -196,6 +228,18 @@
             return
         }
         waiting.removeFirstOrNull()?.let(::answer)
+        if (waiting.size < MAXIMUM_WAITING) context.channel().config().isAutoRead = true
+    }
+
+    /** Notices when the head of a request begins, which the decoder shows only when the head is complete. */
+    private inner class HeadWatch : ChannelInboundHandlerAdapter() {
+        override fun channelRead(
+            context: ChannelHandlerContext,
+            message: Any,
+        ) {
+            if (reading == null && headBegan == null) headBegan = ProcessClock.monotonic()
+            super.channelRead(context, message)
+        }
     }
 
     private class WaitingRequest(
@@ -247,9 +291,10 @@
             context.writeAndFlush(response)
         }
 
-        /** Sends a piece of the body. */
-        fun piece(bytes: ByteArray) {
+        /** Sends a piece of the body, and waits while the caller has not read the pieces before it. */
+        suspend fun piece(bytes: ByteArray) {
             context.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
+            while (!context.channel().isWritable && context.channel().isActive) writable.await()
         }
 
         /** Ends the body as complete. */
@@ -276,6 +321,9 @@
     }
 }
 
+// Requests of one caller that wait for the answer to the one before.
+private const val MAXIMUM_WAITING = 4
+
 /** A request of a caller and the way to answer it. */
 typealias CallerExchange = CallerConnection.CallerExchange
 
--- a/forward/src/main/kotlin/io/kumquattrail/forward/http/HttpCaller.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/http/HttpCaller.kt
@@ -1,8 +1,6 @@
 package io.kumquattrail.forward.http
 
-import kotlinx.coroutines.channels.ReceiveChannel
 import kotlinx.coroutines.withTimeoutOrNull
-import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
 
 /** Says how a short call ended. */
@@ -22,39 +20,52 @@
 class HttpCaller(
     private val pool: ServerConnectionPool,
 ) {
-    /** Sends [message] to [address] and returns the response, or why there is none within [timeout]. */
+    /**
+     * Sends [message] to [address] and returns the response, or why there is none within [timeout].
+     *
+     * @param onNewConnection uses a connection that has had no request before. Responses of some servers carry no id of
+     *   their request, so only there no late copy of another response can stand in for the response.
+     */
     suspend fun call(
         address: NetworkAddress,
         message: HttpMessage,
         timeout: Duration,
+        onNewConnection: Boolean = false,
     ): CallResult {
         var used: ServerConnection? = null
         var answered = false
         try {
             return withTimeoutOrNull(timeout) {
                 val connection =
-                    pool.acquire(address, connectTimeout = timeout)
-                        ?: return@withTimeoutOrNull CallResult.Failed("no connection")
+                    pool.acquire(
+                        address,
+                        connectTimeout = timeout,
+                        maximumIdle = if (onNewConnection) Duration.ZERO else Duration.INFINITE,
+                    ) ?: return@withTimeoutOrNull CallResult.Failed("no connection")
                 used = connection
                 message.headers.set("Host", address.toString())
                 receive(connection.send(message, requestId = null)).also { answered = it is CallResult.Answered }
             } ?: CallResult.Failed("no answer within $timeout")
         } finally {
-            used?.let { if (answered) pool.release(address, it) else it.close() }
+            used?.let { if (answered && !onNewConnection) pool.release(address, it) else it.close() }
         }
     }
 
-    private suspend fun receive(parts: ReceiveChannel<ResponsePart>): CallResult {
+    private suspend fun receive(parts: ResponseParts): CallResult = pool.collected.Body().use { receive(parts, it) }
+
+    private suspend fun receive(
+        parts: ResponseParts,
+        body: CollectedBytes.Body,
+    ): CallResult {
         var head: ResponsePart.Head? = null
-        val body = ByteArrayOutputStream()
-        for (part in parts) {
-            when (part) {
+        while (true) {
+            when (val part = parts.next()) {
                 is ResponsePart.Head -> {
                     head = part
                 }
 
                 is ResponsePart.Body -> {
-                    body.write(part.bytes)
+                    if (!body.add(part.bytes)) return CallResult.Failed("response is too long")
                 }
 
                 is ResponsePart.Broken -> {
@@ -67,6 +78,5 @@
                 }
             }
         }
-        return CallResult.Failed("connection closed")
     }
 }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/http/HttpListener.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/http/HttpListener.kt
@@ -5,10 +5,10 @@
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
+import io.netty.channel.WriteBufferWaterMark
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpRequestDecoder
-import io.netty.handler.codec.http.HttpResponseEncoder
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 
@@ -16,6 +16,10 @@
 private const val MAXIMUM_HEAD_BYTES = 32_768
 private const val MAXIMUM_CHUNK_BYTES = 65_536
 
+// Bytes that wait for a slow caller before its stream pauses, and at which it goes on.
+private const val HIGH_UNSENT_BYTES = 32_768
+private const val LOW_UNSENT_BYTES = 8_192
+
 // Connections that wait to be accepted. Callers come in bursts of hundreds after another process has died.
 private const val BACKLOG = 1_024
 
@@ -32,13 +36,15 @@
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(
+            .childOption(
+                ChannelOption.WRITE_BUFFER_WATER_MARK,
+                WriteBufferWaterMark(LOW_UNSENT_BYTES, HIGH_UNSENT_BYTES),
+            ).childHandler(
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(channel: SocketChannel) {
-                        channel.pipeline().addLast(
+                        CallerConnection(state).addTo(
+                            channel.pipeline(),
                             HttpRequestDecoder(MAXIMUM_LINE_BYTES, MAXIMUM_HEAD_BYTES, MAXIMUM_CHUNK_BYTES),
-                            HttpResponseEncoder(),
-                            CallerConnection(state),
                         )
                     }
                 },
--- a/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnection.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnection.kt
@@ -2,9 +2,12 @@
 
 import io.kumquattrail.decision.time.MonotonicTime
 import io.kumquattrail.forward.process.ProcessClock
+import io.netty.buffer.ByteBuf
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelPipeline
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
@@ -12,7 +15,9 @@
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
@@ -49,19 +54,35 @@
 // Responses to other requests that one exchange skips. A server sends one extra response for a request at most.
 private const val MAXIMUM_SKIPPED_RESPONSES = 4
 
+/** Delivers the parts of one response, and has the connection read on as they are taken. */
+class ResponseParts internal constructor(
+    private val received: ReceiveChannel<ResponsePart>,
+    private val onTaken: (Int) -> Unit,
+) {
+    /** Waits for the next part; after the last one, returns `Broken`. */
+    suspend fun next(): ResponsePart {
+        val part = received.receiveCatching().getOrNull() ?: return ResponsePart.Broken("connection closed")
+        if (part is ResponsePart.Body) onTaken(part.bytes.size)
+        return part
+    }
+}
+
 /**
  * A connection to a backend server or to the platform, with at most one request at a time. It is used on its event loop
  * only.
  *
- * A response that carries another request's id belongs to an earlier request and is skipped. Bytes that arrive while no
- * request waits belong to no request, and the connection is closed.
+ * A response that carries another request's id belongs to an earlier request and is skipped. A response without an id
+ * may be a late copy of an earlier one, so it counts only as the first of its connection. Bytes that arrive while no
+ * request waits, also behind a complete response, belong to no request, and the connection is not used again.
  *
  * @property requestIdHeader header in which a server repeats the id of the request that it answers; `null` when
  *   responses carry no id.
  */
 class ServerConnection(
     private val requestIdHeader: String?,
+    private val limits: ResponseLimits = ResponseLimits(),
 ) : SimpleChannelInboundHandler<HttpObject>() {
+    private val decoder = ResponseDecoder()
     private lateinit var context: ChannelHandlerContext
     private var parts: Channel<ResponsePart>? = null
     private var expectedId: String? = null
@@ -69,7 +90,12 @@
     private var keepOpen = false
     private var skipping = false
     private var skipped = 0
+    private var skippedBytes = 0
+    private var interimHeads = 0
     private var inBody = false
+    private var hasAnswered = false
+    private var undecodedBytes = 0
+    private var unreadBytes = 0
 
     /** Time at which the last response was complete. */
     var idleSince: MonotonicTime = ProcessClock.monotonic()
@@ -86,13 +112,17 @@
     fun send(
         message: HttpMessage,
         requestId: String?,
-    ): ReceiveChannel<ResponsePart> {
+    ): ResponseParts {
         check(parts == null) { "a connection serves one request at a time" }
         val responseParts = Channel<ResponsePart>(Channel.UNLIMITED)
         parts = responseParts
         expectedId = requestId
         keepOpen = false
         skipped = 0
+        skippedBytes = 0
+        interimHeads = 0
+        undecodedBytes = 0
+        unreadBytes = 0
         writeComplete = false
         val request =
             DefaultFullHttpRequest(
@@ -108,7 +138,12 @@
         context.writeAndFlush(request).addListener { result ->
             if (result.isSuccess) writeComplete = true else broken("write failed: ${result.cause()?.message}")
         }
-        return responseParts
+        return ResponseParts(responseParts) { count -> if (parts === responseParts) taken(count) }
+    }
+
+    /** Adds the handlers of a connection to [pipeline]. */
+    fun addTo(pipeline: ChannelPipeline) {
+        pipeline.addLast(HttpRequestEncoder(), ByteCounter(), decoder, this)
     }
 
     /** Closes the connection; a response that is still due is broken off. */
@@ -126,6 +161,7 @@
         message: HttpObject,
     ) {
         if (message.decoderResult().isFailure) return broken("response is not HTTP")
+        undecodedBytes = 0
         if (message is HttpResponse) onHead(message)
         if (message is HttpContent && inBody) onContent(message)
     }
@@ -139,9 +175,16 @@
 
     private fun onHead(response: HttpResponse) {
         val receiver = parts ?: return broken("bytes without a request")
-        if (response.status().code() in INFORMATIONAL) return
+        if (response.status().code() in INFORMATIONAL) {
+            interimHeads += 1
+            if (interimHeads > limits.interimHeads) broken("too many informational responses")
+            return
+        }
         inBody = true
         val id = requestIdHeader?.let { response.headers().get(it) }
+        if (hasAnswered && requestIdHeader != null && expectedId != null && id == null) {
+            return broken("response without the request's id on a connection that was used before")
+        }
         skipping = id != null && expectedId != null && id != expectedId
         if (skipping) {
             skipped += 1
@@ -156,8 +199,14 @@
 
     private fun onContent(content: HttpContent) {
         val receiver = parts
-        if (receiver != null && !skipping && content.content().isReadable) {
+        val size = content.content().readableBytes()
+        if (skipping) {
+            skippedBytes += size
+            if (skippedBytes > limits.skippedBytes) return broken("response to another request is too long")
+        } else if (receiver != null && size > 0) {
             receiver.trySend(ResponsePart.Body(ByteBufUtil.getBytes(content.content())))
+            unreadBytes += size
+            if (unreadBytes > limits.unreadBytes) context.channel().config().isAutoRead = false
         }
         if (content !is LastHttpContent) return
         inBody = false
@@ -166,12 +215,27 @@
             return
         }
         parts = null
+        hasAnswered = true
         idleSince = ProcessClock.monotonic()
         receiver?.trySend(ResponsePart.End)
         receiver?.close()
+        context.channel().config().isAutoRead = true
+        // What follows a complete response would be read as the start of the next one.
+        if (decoder.undecodedBytes > 0) keepOpen = false
         if (!keepOpen) context.close()
     }
 
+    private fun taken(count: Int) {
+        unreadBytes -= count
+        if (unreadBytes <= limits.unreadBytes) context.channel().config().isAutoRead = true
+    }
+
+    private fun received(count: Int) {
+        if (parts == null) return broken("bytes without a request")
+        undecodedBytes += count
+        if (undecodedBytes > limits.headBytes) broken("no response in $undecodedBytes bytes")
+    }
+
     private fun broken(reason: String) {
         keepOpen = false
         inBody = false
@@ -193,7 +257,28 @@
             ?.toIntOrNull()
             ?.seconds
 
+    /** Counts bytes as they arrive, as the decoder shows nothing of those that are no part of a message. */
+    private inner class ByteCounter : ChannelInboundHandlerAdapter() {
+        override fun channelRead(
+            context: ChannelHandlerContext,
+            message: Any,
+        ) {
+            if (message is ByteBuf) received(message.readableBytes())
+            super.channelRead(context, message)
+        }
+    }
+
+    /** Tells how many bytes it keeps that are no part of what it has decoded. */
+    private class ResponseDecoder : HttpResponseDecoder(MAXIMUM_LINE_BYTES, MAXIMUM_HEAD_BYTES, MAXIMUM_CHUNK_BYTES) {
+        val undecodedBytes: Int get() = actualReadableBytes()
+    }
+
     private companion object {
         val INFORMATIONAL = 100..199
+
+        /** The connection's own limits for what it decodes, in bytes. Responses have short heads. */
+        const val MAXIMUM_LINE_BYTES = 8_192
+        const val MAXIMUM_HEAD_BYTES = 65_536
+        const val MAXIMUM_CHUNK_BYTES = 65_536
     }
 }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnectionPool.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnectionPool.kt
@@ -2,13 +2,12 @@
 
 import io.kumquattrail.forward.process.ProcessClock
 import io.netty.bootstrap.Bootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpRequestEncoder
-import io.netty.handler.codec.http.HttpResponseDecoder
 import kotlinx.coroutines.suspendCancellableCoroutine
 import java.net.InetSocketAddress
 import kotlin.coroutines.resume
@@ -22,10 +21,10 @@
 // A request must reach the server before the server closes the idle connection; this covers the way there.
 private val KEEP_ALIVE_MARGIN = 700.milliseconds
 
-// The connection's own limits for what it decodes, in bytes. Responses have short heads.
-private const val MAXIMUM_LINE_BYTES = 8_192
-private const val MAXIMUM_HEAD_BYTES = 65_536
-private const val MAXIMUM_CHUNK_BYTES = 65_536
+// Bytes that one read takes from a connection at most, so that a connection holds little while its reading pauses.
+private const val LEAST_READ_BYTES = 64
+private const val USUAL_READ_BYTES = 2_048
+private const val MOST_READ_BYTES = 16_384
 
 /** An address of a backend server or of the platform. */
 data class NetworkAddress(
@@ -48,7 +47,10 @@
 class ServerConnectionPool(
     private val eventLoop: EventLoop,
     private val requestIdHeader: String? = null,
+    val limits: ResponseLimits = ResponseLimits(),
 ) {
+    /** Bytes of the bodies that are being collected from this pool's connections. */
+    val collected = CollectedBytes(limits)
     private val idle = HashMap<NetworkAddress, ArrayDeque<ServerConnection>>()
 
     /**
@@ -115,23 +117,22 @@
         address: NetworkAddress,
         connectTimeout: Duration,
     ): ServerConnection? {
-        val connection = ServerConnection(requestIdHeader)
+        val connection = ServerConnection(requestIdHeader, limits)
         val future =
             Bootstrap()
                 .group(eventLoop)
                 .channel(NioSocketChannel::class.java)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(
+                    ChannelOption.RECVBUF_ALLOCATOR,
+                    AdaptiveRecvByteBufAllocator(LEAST_READ_BYTES, USUAL_READ_BYTES, MOST_READ_BYTES),
+                ).option(
                     ChannelOption.CONNECT_TIMEOUT_MILLIS,
                     connectTimeout.inWholeMilliseconds.toInt().coerceAtLeast(1),
                 ).handler(
                     object : ChannelInitializer<SocketChannel>() {
                         override fun initChannel(channel: SocketChannel) {
-                            channel.pipeline().addLast(
-                                HttpRequestEncoder(),
-                                HttpResponseDecoder(MAXIMUM_LINE_BYTES, MAXIMUM_HEAD_BYTES, MAXIMUM_CHUNK_BYTES),
-                                connection,
-                            )
+                            connection.addTo(channel.pipeline())
                         }
                     },
                 ).connect(InetSocketAddress(address.host, address.port))
--- a/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerExchange.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerExchange.kt
@@ -16,6 +16,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
+import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -53,9 +54,11 @@
     /** Exchanges state with peers until [scope] ends. */
     fun start(scope: CoroutineScope) {
         scope.launch {
+            table.partners(ProcessClock.monotonic(), random).map { launch { exchangeWith(it) } }.joinAll()
+            state.peersAsked = true
             while (isActive) {
-                table.partners(ProcessClock.monotonic(), random).forEach { peer -> scope.launch { exchangeWith(peer) } }
                 delay(INTERVAL)
+                table.partners(ProcessClock.monotonic(), random).forEach { peer -> scope.launch { exchangeWith(peer) } }
             }
         }
     }
@@ -137,6 +140,8 @@
             state.log.log("peer_alive", "peer" to message.process, "known" to alive(now).size)
         }
         state.loads.peerReported(message.process, message.inProgress, now)
+        state.serversLeft(message.departures, message.process)
+        if (message.keepsMaps && !state.keepsMaps) state.groups.formed(message.groups)
         state.allowance.seen(alive(now).size + 1, now)
         table.removeLost(now).forEach { (peer, since) ->
             mapKeepers.remove(peer)
@@ -154,6 +159,8 @@
             stopping = state.isStopping,
             ready = state.isReady,
             keepsMaps = state.keepsMaps,
+            departures = state.catalogue.departures,
+            groups = if (state.keepsMaps) state.groups.members else emptyMap(),
         )
 
     private companion object {
--- a/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerMessage.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerMessage.kt
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode
 import com.fasterxml.jackson.databind.json.JsonMapper
 import com.fasterxml.jackson.databind.node.ObjectNode
+import io.kumquattrail.decision.identity.GroupName
 import io.kumquattrail.decision.identity.ProcessName
 import io.kumquattrail.decision.identity.ServerName
 import kotlin.time.Duration
@@ -20,6 +21,8 @@
  * @property stopping whether the sender is shutting down.
  * @property ready whether the sender can serve requests.
  * @property keepsMaps whether the sender keeps the expert maps.
+ * @property departures revision of the registry at which each server has left that has done so lately.
+ * @property groups group of each server, as the keeper of the maps knows it; empty from any other sender.
  */
 data class PeerMessage(
     val process: ProcessName,
@@ -30,6 +33,8 @@
     val stopping: Boolean,
     val ready: Boolean = false,
     val keepsMaps: Boolean = false,
+    val departures: Map<ServerName, Long> = emptyMap(),
+    val groups: Map<ServerName, GroupName> = emptyMap(),
 ) {
     /** Returns the message as it is sent. */
     fun encode(): ByteArray {
@@ -43,6 +48,12 @@
         root.put("stopping", stopping)
         root.put("ready", ready)
         root.put("keeps_maps", keepsMaps)
+        val left = root.putObject("departures")
+        departures.forEach { (server, revision) -> left.put(server.value, revision) }
+        val members = root.putObject("groups")
+        groups.entries.groupBy({ it.value }, { it.key }).forEach { (group, servers) ->
+            members.putArray(group.value).also { array -> servers.forEach { array.add(it.value) } }
+        }
         return MAPPER.writeValueAsBytes(root)
     }
 
@@ -77,6 +88,16 @@
                 stopping = root.path("stopping").asBoolean(false),
                 ready = root.path("ready").asBoolean(false),
                 keepsMaps = root.path("keeps_maps").asBoolean(false),
+                departures =
+                    root.path("departures").properties().associate { (name, revision) ->
+                        ServerName(name) to revision.asLong()
+                    },
+                groups =
+                    root
+                        .path("groups")
+                        .properties()
+                        .flatMap { (group, servers) -> servers.map { ServerName(it.asText()) to GroupName(group) } }
+                        .toMap(),
             )
         }
     }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
@@ -18,6 +18,7 @@
 import io.kumquattrail.forward.http.HttpListener
 import io.kumquattrail.forward.http.HttpReply
 import io.kumquattrail.forward.http.NetworkAddress
+import io.kumquattrail.forward.http.ResponseLimits
 import io.kumquattrail.forward.http.ServerConnectionPool
 import io.kumquattrail.forward.log.EventLog
 import io.kumquattrail.forward.peer.PeerExchange
@@ -45,6 +46,7 @@
  * @property seeds addresses of other gateways, some of which may be gone.
  * @property keyTrust time for which a confirmed configuration is good for checking keys.
  * @property shutdownTime time from a stop signal to the end of the process.
+ * @property responseLimits bounds on what servers may send.
  */
 data class GatewaySettings(
     val process: ProcessName,
@@ -56,6 +58,7 @@
     val keyTrust: Duration,
     val shutdownTime: Duration,
     val sharedLimits: SharedLimits,
+    val responseLimits: ResponseLimits = ResponseLimits(),
 )
 
 /**
@@ -85,7 +88,8 @@
         }
     private val scope = CoroutineScope(SupervisorJob() + dispatcher + failures)
     private val metrics = ForwardingMetrics()
-    private val serverPool = ServerConnectionPool(eventLoop, requestIdHeader = headers.requestId)
+    private val serverPool =
+        ServerConnectionPool(eventLoop, requestIdHeader = headers.requestId, limits = settings.responseLimits)
 
     /** Everything that the gateway knows. */
     val state =
@@ -157,16 +161,14 @@
             if (state.isStopping) return@launch
             state.isStopping = true
             callers.closeAfterResponse = true
-            // Callers open new connections elsewhere; a request on an old one would come too late to be finished.
-            callers.closeIdle()
             log.log("stopping", "signal" to signal, "requests" to callers.requestsInProgress)
             val began = ProcessClock.monotonic()
-            while (true) {
+            // A request may be on its way on a kept connection, so these stay open while requests can still be finished.
+            while (ProcessClock.monotonic() - began <= LEAVE_ROTATION) delay(STOP_POLL)
+            state.refusesNewRequests = true
+            callers.closeIdle()
+            while (callers.requestsInProgress > 0 && ProcessClock.monotonic() - began <= settings.shutdownTime) {
                 delay(STOP_POLL)
-                val spent = ProcessClock.monotonic() - began
-                state.refusesNewRequests = spent > LEAVE_ROTATION
-                val quiet = spent > LEAVE_ROTATION && callers.requestsInProgress == 0
-                if (quiet || spent > settings.shutdownTime) break
             }
             log.log("stopped", "requests" to callers.requestsInProgress)
             onEnd()
--- a/forward/src/main/kotlin/io/kumquattrail/forward/process/GatewayState.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/process/GatewayState.kt
@@ -6,6 +6,7 @@
 import io.kumquattrail.decision.identity.ProcessName
 import io.kumquattrail.decision.identity.ServerName
 import io.kumquattrail.decision.identity.ZoneName
+import io.kumquattrail.decision.placement.GroupProgress
 import io.kumquattrail.decision.placement.LoadTable
 import io.kumquattrail.decision.placement.SharedAllowance
 import io.kumquattrail.decision.route.ConfirmationClock
@@ -34,6 +35,9 @@
     /** Requests in progress at the servers. */
     val loads = LoadTable()
 
+    /** Groups of servers that work in lockstep, and whether they go on. */
+    val groups = GroupProgress()
+
     /** Split of the allowances of all processes. */
     val allowance = SharedAllowance(leastProcesses = leastProcesses)
 
@@ -44,6 +48,9 @@
     var serversKnown = false
         private set
 
+    /** Whether the peers that the settings name have been asked for what they know. */
+    var peersAsked = false
+
     /** Whether the process keeps the expert maps. */
     var keepsMaps = false
 
@@ -57,7 +64,7 @@
     var onChange: () -> Unit = {}
 
     /** Whether the process can serve requests. */
-    val isReady: Boolean get() = !isStopping && configuration != null && serversKnown
+    val isReady: Boolean get() = !isStopping && peersAsked && configuration != null && serversKnown
 
     /** Returns the age of configuration and evacuations. */
     fun confirmedAge(): Duration = confirmation.age(ProcessClock.monotonic(), ProcessClock.wall())
@@ -85,15 +92,37 @@
         onChange()
     }
 
-    /** Takes in the complete list of registered servers. */
+    /**
+     * Takes in the complete list of registered servers.
+     *
+     * @param rolledBack whether the registry has come back from an older copy since the last list.
+     */
     fun serversListed(
         servers: Collection<BackendServer>,
         version: Long,
+        rolledBack: Boolean = false,
     ) {
-        logChanges(catalogue.replaced(servers, ProcessClock.monotonic()), version)
+        val now = ProcessClock.monotonic()
+        val changes =
+            if (rolledBack) {
+                catalogue.rolledBack(servers, now, version)
+            } else {
+                catalogue.replaced(servers, now, version)
+            }
+        logChanges(changes, version)
         serversKnown = true
     }
 
+    /** Takes in the servers that have left, as [peer] knows them. */
+    fun serversLeft(
+        departures: Map<ServerName, Long>,
+        peer: ProcessName,
+    ) {
+        val changes = catalogue.leftElsewhere(departures, ProcessClock.monotonic())
+        if (changes.isNotEmpty()) log.log("servers_left", "peer" to peer, "servers" to changes.size)
+        logChanges(changes, version = null)
+    }
+
     /** Takes in one registration. */
     fun serverRegistered(
         server: BackendServer,
@@ -104,7 +133,7 @@
     fun serverRemoved(
         name: ServerName,
         version: Long,
-    ) = logChanges(listOfNotNull(catalogue.removed(name, ProcessClock.monotonic())), version)
+    ) = logChanges(listOfNotNull(catalogue.removed(name, ProcessClock.monotonic(), version)), version)
 
     /** Removes the registrations that did not come back after an outage of the registry. */
     fun expireLapsedServers() = logChanges(catalogue.expireLapsed(ProcessClock.monotonic()), version = null)
@@ -130,6 +159,7 @@
                     is CatalogueChange.Added -> "server_added"
                     is CatalogueChange.Draining -> if (change.server.draining) "server_draining" else "server_returned"
                     is CatalogueChange.Lapsed -> "server_lapsed"
+                    is CatalogueChange.Outdated -> "server_entry_outdated"
                     is CatalogueChange.Removed -> "server_removed"
                 }
             log.log(
--- a/forward/src/test/kotlin/io/kumquattrail/forward/expert/GroupKeeperSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/expert/GroupKeeperSpec.kt
@@ -188,6 +188,7 @@
             )
         }
     state.serversListed(servers, version = 1)
+    state.peersAsked = true
     return state
 }
 
--- /dev/null
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/GatewayFixture.kt
@@ -0,0 +1,185 @@
+package io.kumquattrail.forward.process
+
+import io.kumquattrail.decision.catalogue.BackendServer
+import io.kumquattrail.decision.expert.replica.OrderAnswer
+import io.kumquattrail.decision.expert.replica.RankOrder
+import io.kumquattrail.decision.identity.OrganisationName
+import io.kumquattrail.decision.identity.ProcessName
+import io.kumquattrail.decision.identity.ServerName
+import io.kumquattrail.decision.identity.ServiceName
+import io.kumquattrail.decision.identity.ZoneName
+import io.kumquattrail.decision.route.EngineGroupFigures
+import io.kumquattrail.decision.route.Organisation
+import io.kumquattrail.decision.route.Route
+import io.kumquattrail.decision.route.RouteKind
+import io.kumquattrail.decision.route.RouteTarget
+import io.kumquattrail.decision.route.RoutingConfiguration
+import io.kumquattrail.decision.route.ServiceDefinition
+import io.kumquattrail.forward.call.ForwardingHeaders
+import io.kumquattrail.forward.call.SharedLimits
+import io.kumquattrail.forward.expert.RankControl
+import io.kumquattrail.forward.http.NetworkAddress
+import io.kumquattrail.forward.log.EventLog
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import java.io.ByteArrayOutputStream
+import java.net.ServerSocket
+import java.net.Socket
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val SERVICE = ServiceName("service")
+
+private val HEADERS =
+    ForwardingHeaders(
+        requestId = "Request",
+        remainingTime = "Remaining",
+        organisation = "Organisation",
+        expectedServer = "Expected",
+        notRun = "Not-Run",
+        signature = "Signature",
+        lastEvent = "Last-Event",
+        urgency = "Urgency",
+        authorisation = "Authorization",
+        authorisationScheme = "Token",
+        faultyServer = "Faulty",
+    )
+
+private fun freePort(): Int = ServerSocket(0).use { it.localPort }
+
+private fun route(
+    kind: RouteKind,
+    timeout: Duration,
+) = Route(
+    name = kind.name,
+    host = "shop.example",
+    pathPrefix = "/${kind.name.lowercase()}/",
+    kind = kind,
+    timeout = timeout,
+    latencyTarget = 200.milliseconds,
+    targets = persistentListOf(RouteTarget(SERVICE)),
+    maximumAttempts = if (kind == RouteKind.UNSAFE) 1 else 2,
+    resumable = kind == RouteKind.STREAMING,
+)
+
+private class NoRanks : RankControl {
+    override suspend fun state(server: BackendServer) = null
+
+    override suspend fun choices(
+        server: BackendServer,
+        figures: EngineGroupFigures,
+    ) = null
+
+    override suspend fun holdings(server: BackendServer) = null
+
+    override suspend fun order(
+        server: BackendServer,
+        order: RankOrder,
+        epoch: Long,
+        fence: Long,
+    ) = OrderAnswer.UNKNOWN
+}
+
+/** A gateway on loopback before [servers], and a caller's view of it. */
+internal class GatewayFixture(
+    servers: List<ScriptedServer>,
+    timeout: Duration = 2.seconds,
+    confirmed: Boolean = true,
+    slots: Int = 8,
+) : AutoCloseable {
+    private val callerPort = freePort()
+    private val logged = ByteArrayOutputStream()
+    private val metricsPort = freePort()
+    val gateway =
+        Gateway(
+            settings =
+                GatewaySettings(
+                    process = ProcessName("127.0.0.1:${freePort()}"),
+                    zone = ZoneName("a"),
+                    callerAddress = NetworkAddress("127.0.0.1", callerPort),
+                    readinessAddress = NetworkAddress("127.0.0.1", freePort()),
+                    metricsPort = metricsPort,
+                    seeds = emptyList(),
+                    keyTrust = 3.seconds,
+                    shutdownTime = 3.seconds,
+                    sharedLimits = SharedLimits(0.2, 92.0, 10.seconds, 1.5, 5.0),
+                ),
+            log = EventLog(logged),
+            headers = HEADERS,
+            readinessPath = "/ready",
+            decodeConfiguration = { null },
+        )
+
+    init {
+        gateway.start(
+            source = {
+                val state = gateway.state
+                val kinds = RouteKind.entries
+                state.publish(
+                    RoutingConfiguration(
+                        version = 1,
+                        routes = persistentListOf<Route>().addAll(kinds.map { route(it, timeout) }),
+                        services = persistentMapOf(SERVICE to ServiceDefinition(SERVICE, "/health", 100)),
+                        organisations = persistentMapOf("key" to Organisation(OrganisationName("hanbit"))),
+                    ),
+                    source = "test",
+                )
+                state.serversListed(
+                    servers.mapIndexed { index, server ->
+                        BackendServer(ServerName("s$index"), SERVICE, "127.0.0.1", server.port, ZoneName("a"), slots)
+                    },
+                    version = 1,
+                )
+                if (confirmed) state.confirmation.confirmed(ProcessClock.monotonic(), ProcessClock.wall())
+            },
+            control = NoRanks(),
+        )
+    }
+
+    fun connect() = Socket("127.0.0.1", callerPort).apply { soTimeout = 5_000 }
+
+    fun metrics(): String =
+        Socket("127.0.0.1", metricsPort).use {
+            it.send("GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            it.untilEnd()
+        }
+
+    fun log(): String {
+        Thread.sleep(100)
+        return logged.toString()
+    }
+
+    override fun close() = gateway.close()
+}
+
+internal fun Socket.ask(
+    path: String,
+    method: String = "GET",
+    body: String = "",
+    headers: String = "",
+    remaining: Int = 1_500,
+) = send(
+    "$method $path HTTP/1.1\r\nHost: shop.example\r\nRequest: r-1\r\nRemaining: $remaining\r\n" +
+        "Authorization: Token key\r\n${headers}Content-Length: ${body.length}\r\n\r\n$body",
+)
+
+/** Reads a response with a length. */
+internal fun Socket.answer(): ReceivedRequest? = readRequest(getInputStream())
+
+internal fun Socket.untilEnd(): String = runCatching { String(getInputStream().readAllBytes()) }.getOrDefault("reset")
+
+internal fun event(id: Int) = "id: $id\ndata: w$id\n\n"
+
+/** Runs [block] with a gateway before [servers], and ends all of them. */
+internal fun serving(
+    vararg servers: ScriptedServer,
+    timeout: Duration = 2.seconds,
+    confirmed: Boolean = true,
+    slots: Int = 8,
+    block: (GatewayFixture) -> Unit,
+) = try {
+    GatewayFixture(servers.toList(), timeout, confirmed, slots).use(block)
+} finally {
+    servers.forEach { it.close() }
+}
