--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/FieldFaultsSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/FieldFaultsSpec.kt
@@ -336,7 +336,7 @@
                                 remaining = 8_000,
                             )
                             val text = it.untilEnd()
-                            withClue(text) { ids(text) shouldContainExactly listOf("1", "2", "3") }
+                            withClue(text + fixture.log()) { ids(text) shouldContainExactly listOf("1", "2", "3") }
                             text shouldContain LAST_CHUNK
                             (System.nanoTime() - began) / 1_000_000 shouldBeLessThan 2_000L
                         }
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/GatewayFixture.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/GatewayFixture.kt
@@ -175,7 +175,12 @@
 /** Reads a response with a length. */
 internal fun Socket.answer(): ReceivedRequest? = readRequest(getInputStream())
 
-internal fun Socket.untilEnd(): String = runCatching { String(getInputStream().readAllBytes()) }.getOrDefault("reset")
+/** Reads until the connection ends; a reset or a time-out leaves a mark behind what came before. */
+internal fun Socket.untilEnd(): String {
+    val received = ByteArrayOutputStream()
+    val failure = runCatching { getInputStream().transferTo(received) }.exceptionOrNull()
+    return received.toString() + (failure?.let { "[${it.message}]" } ?: "")
+}
 
 internal fun event(id: Int) = "id: $id\ndata: w$id\n\n"
 
