--- a/decision/src/main/kotlin/io/kumquattrail/decision/route/RoutingConfiguration.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/route/RoutingConfiguration.kt
@@ -77,7 +77,7 @@
 
     private companion object {
         /** Share of [gapTarget] that streams use up to which nothing is done; the rest is for prompts and bursts. */
-        const val TOLERATED_SHARE = 0.65
+        const val TOLERATED_SHARE = 0.5
     }
 }
 
