Lose no part of a response when its reader stops waiting

Cause, found by reading: a stalled stream that may not move, for want of a retry, goes on being read after its time-out. A part that a channel hands over at that moment is lost with the cancelled receive, and the event after the hole would be joined from two halves. ResponseParts takes a part only once its reader runs.

--- a/forward/src/main/kotlin/io/kumquattrail/forward/http/CallerConnection.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/http/CallerConnection.kt
@@ -85,11 +85,8 @@
         limits: CallerLimits,
     ) {
         if (isAnswering || rejected) return
-        if (headBegan?.let { now - it > limits.headerTimeout } ==
-            true
-        ) {
-            return reject(HttpResponseStatus.REQUEST_TIMEOUT)
-        }
+        val headIsSlow = headBegan?.let { now - it > limits.headerTimeout } ?: false
+        if (headIsSlow) return reject(HttpResponseStatus.REQUEST_TIMEOUT)
         if (now - lastActivity > limits.idleTimeout) context.close()
     }
 
--- a/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnection.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnection.kt
@@ -21,8 +21,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
-import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.channels.ReceiveChannel
+import kotlinx.coroutines.CompletableDeferred
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -54,14 +53,29 @@
 // Responses to other requests that one exchange skips. A server sends one extra response for a request at most.
 private const val MAXIMUM_SKIPPED_RESPONSES = 4
 
-/** Delivers the parts of one response, and has the connection read on as they are taken. */
+/**
+ * Delivers the parts of one response, and has the connection read on as they are taken.
+ *
+ * A caller of [next] that stops waiting loses no part, so it can go on later. A channel does not promise that.
+ */
 class ResponseParts internal constructor(
-    private val received: ReceiveChannel<ResponsePart>,
     private val onTaken: (Int) -> Unit,
 ) {
-    /** Waits for the next part; after the last one, returns `Broken`. */
+    private val parts = ArrayDeque<ResponsePart>()
+    private var arrival = CompletableDeferred<Unit>()
+
+    internal fun add(part: ResponsePart) {
+        parts.addLast(part)
+        arrival.complete(Unit)
+    }
+
+    /** Waits for the next part; nothing follows an end or a broken part. */
     suspend fun next(): ResponsePart {
-        val part = received.receiveCatching().getOrNull() ?: return ResponsePart.Broken("connection closed")
+        while (parts.isEmpty()) {
+            arrival = CompletableDeferred()
+            arrival.await()
+        }
+        val part = parts.removeFirst()
         if (part is ResponsePart.Body) onTaken(part.bytes.size)
         return part
     }
@@ -84,7 +98,7 @@
 ) : SimpleChannelInboundHandler<HttpObject>() {
     private val decoder = ResponseDecoder()
     private lateinit var context: ChannelHandlerContext
-    private var parts: Channel<ResponsePart>? = null
+    private var parts: ResponseParts? = null
     private var expectedId: String? = null
     private var writeComplete = true
     private var keepOpen = false
@@ -114,7 +128,7 @@
         requestId: String?,
     ): ResponseParts {
         check(parts == null) { "a connection serves one request at a time" }
-        val responseParts = Channel<ResponsePart>(Channel.UNLIMITED)
+        val responseParts = ResponseParts(onTaken = ::taken)
         parts = responseParts
         expectedId = requestId
         keepOpen = false
@@ -138,7 +152,7 @@
         context.writeAndFlush(request).addListener { result ->
             if (result.isSuccess) writeComplete = true else broken("write failed: ${result.cause()?.message}")
         }
-        return ResponseParts(responseParts) { count -> if (parts === responseParts) taken(count) }
+        return responseParts
     }
 
     /** Adds the handlers of a connection to [pipeline]. */
@@ -194,7 +208,7 @@
         keepOpen = HttpUtil.isKeepAlive(response) &&
             (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response))
         keepAlive = keepAliveOf(response)
-        receiver.trySend(ResponsePart.Head(status = response.status().code(), headers = response.headers()))
+        receiver.add(ResponsePart.Head(status = response.status().code(), headers = response.headers()))
     }
 
     private fun onContent(content: HttpContent) {
@@ -204,7 +218,7 @@
             skippedBytes += size
             if (skippedBytes > limits.skippedBytes) return broken("response to another request is too long")
         } else if (receiver != null && size > 0) {
-            receiver.trySend(ResponsePart.Body(ByteBufUtil.getBytes(content.content())))
+            receiver.add(ResponsePart.Body(ByteBufUtil.getBytes(content.content())))
             unreadBytes += size
             if (unreadBytes > limits.unreadBytes) context.channel().config().isAutoRead = false
         }
@@ -217,8 +231,7 @@
         parts = null
         hasAnswered = true
         idleSince = ProcessClock.monotonic()
-        receiver?.trySend(ResponsePart.End)
-        receiver?.close()
+        receiver?.add(ResponsePart.End)
         context.channel().config().isAutoRead = true
         // What follows a complete response would be read as the start of the next one.
         if (decoder.undecodedBytes > 0) keepOpen = false
@@ -241,8 +254,7 @@
         inBody = false
         val receiver = parts
         parts = null
-        receiver?.trySend(ResponsePart.Broken(reason))
-        receiver?.close()
+        receiver?.add(ResponsePart.Broken(reason))
         context.close()
     }
 
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/FieldFaultsSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/FieldFaultsSpec.kt
@@ -65,6 +65,22 @@
 private fun longBodied(request: ReceivedRequest) =
     "HTTP/1.1 200 OK\r\nRequest: ${request.header("Request")}\r\nSignature: s1\r\nContent-Length: 999999999999\r\n\r\n"
 
+/** Sends two requests on one connection, with [pause] milliseconds between, and expects each one's own answer. */
+private fun answersBoth(
+    server: ScriptedServer,
+    pause: Long,
+) = serving(server) { fixture ->
+    fixture.connect().use {
+        it.ask("/unsafe/x", "POST", body = "first")
+        it.answer()!!.body shouldBe "first"
+        Thread.sleep(pause)
+        it.ask("/unsafe/x", "POST", body = "second")
+        val answer = it.answer()!!
+        answer.head shouldContain "200 OK"
+        answer.body shouldBe "second"
+    }
+}
+
 /** Faults that operators of similar systems have met, and answers without end. */
 class FieldFaultsSpec :
     DescribeSpec({
@@ -94,17 +110,7 @@
                         Thread.sleep(50)
                         socket.send("HTTP/1.1 201 Late\r\nRequest: r-1\r\nSignature: s1\r\nX").let { true }
                     }
-                serving(server) { fixture ->
-                    fixture.connect().use {
-                        it.ask("/unsafe/x", "POST", body = "first")
-                        it.answer()!!.body shouldBe "first"
-                        Thread.sleep(150)
-                        it.ask("/unsafe/x", "POST", body = "second")
-                        val answer = it.answer()!!
-                        answer.head shouldContain "200 OK"
-                        answer.body shouldBe "second"
-                    }
-                }
+                answersBoth(server, pause = 150)
             }
 
             it("that follows the first in one packet, cut in its head, is not joined with the next answer") {
@@ -113,16 +119,7 @@
                         val rest = "HTTP/1.1 201 Late\r\nRequest: r-1\r\nSignature: s1\r\nX"
                         socket.send(response(request, request.body) + rest).let { true }
                     }
-                serving(server) { fixture ->
-                    fixture.connect().use {
-                        it.ask("/unsafe/x", "POST", body = "first")
-                        it.answer()!!.body shouldBe "first"
-                        it.ask("/unsafe/x", "POST", body = "second")
-                        val answer = it.answer()!!
-                        answer.head shouldContain "200 OK"
-                        answer.body shouldBe "second"
-                    }
-                }
+                answersBoth(server, pause = 0)
             }
         }
 
