Notice a stall also when a byte arrives as the patience ends

A byte that came later than the end of the patience, but before the time-out had run, ended the reading, and from then on the stream was read without limit. The caller had event 1 and nothing else for 5 s, and the log shows no second attempt. The two failures of the same spec before were most likely this one.

The stall is judged before each reading; without a retry to spend it is asked again after another patience. The spec with a byte each 100 ms and each 1 ms fails on the code before (run alone, 100 ms) and passes now.

--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -254,11 +254,20 @@
         response: AttemptStart.Answering,
     ): AttemptOutcome {
         val began = ProcessClock.monotonic()
+        val mayMove = call.route.repeatable && call.runs + 1 < call.route.maximumAttempts
+        var askedAt = began
         while (true) {
             val now = ProcessClock.monotonic()
-            // Bytes of an event that is not complete are no progress.
-            val stallsAt = maxOf(began, call.lastEventAt ?: began) + call.patience.limit
-            val mayMove = now < stallsAt && call.route.repeatable && call.runs + 1 < call.route.maximumAttempts
+            // Bytes of an event that is not complete are no progress, also those that arrive as the patience ends.
+            val stallsAt = maxOf(began, call.lastEventAt ?: began, askedAt) + call.patience.limit
+            if (mayMove && now >= stallsAt) {
+                if (rooms.mayRepeat(call.service, now)) {
+                    return AttemptOutcome.Failed(FailureKind.MAY_HAVE_RUN, "stream stalled", mayRepeat = true)
+                }
+                // Without a retry to spend, the stream may still go on where it is.
+                askedAt = now
+                continue
+            }
             when (val part = attempt.next(if (mayMove) stallsAt - now else Duration.INFINITE)) {
                 is ResponsePart.Body -> {
                     val fault = passOn(call, server.name, response, part.bytes)
@@ -281,10 +290,7 @@
                 }
 
                 null -> {
-                    // Without a retry to spend, the stream may still go on where it is.
-                    if (rooms.mayRepeat(call.service, ProcessClock.monotonic())) {
-                        return AttemptOutcome.Failed(FailureKind.MAY_HAVE_RUN, "stream stalled", mayRepeat = true)
-                    }
+                    Unit
                 }
             }
         }
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/FieldFaultsSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/FieldFaultsSpec.kt
@@ -304,13 +304,15 @@
         }
 
         describe("a stream") {
-            it("that stalls with a byte now and then goes on at another server in the same answer") {
+            // With a byte each millisecond, some byte arrives as the patience ends; it once hid the stall for good.
+            listOf(100L, 1L).forEach { interval ->
+            it("that stalls with a byte each $interval ms goes on at another server in the same answer") {
                 val stalling =
                     ScriptedServer { request, socket ->
                         socket.send(streamHead(request) + chunk(event(1)))
                         runCatching {
-                            repeat(100) {
-                                Thread.sleep(100)
+                            repeat((6_000 / interval).toInt()) {
+                                Thread.sleep(interval)
                                 socket.send(chunk("x"))
                             }
                         }
@@ -340,6 +342,7 @@
                     }
                 }
             }
+            }
 
             it("that is slow but goes on is not cut") {
                 val slow =
