--- a/decision/src/main/kotlin/io/kumquattrail/decision/placement/GroupProgress.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/placement/GroupProgress.kt
@@ -40,9 +40,6 @@
         groups.keys.retainAll(members.values.toSet())
     }
 
-    /** Returns the group of [server], or `null` when it is not known. */
-    fun groupOf(server: ServerName): GroupName? = membership[server]
-
     /** Records that [server] has written an event of a stream or a whole response. */
     fun progressed(
         server: ServerName,
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -253,13 +253,12 @@
         attempt: ServerAttempt,
         response: AttemptStart.Answering,
     ): AttemptOutcome {
-        val began = ProcessClock.monotonic()
         val mayMove = call.route.repeatable && call.runs + 1 < call.route.maximumAttempts
-        var askedAt = began
+        var askedAt = ProcessClock.monotonic()
         while (true) {
             val now = ProcessClock.monotonic()
             // Bytes of an event that is not complete are no progress, also those that arrive as the patience ends.
-            val stallsAt = maxOf(began, call.lastEventAt ?: began, askedAt) + call.patience.limit
+            val stallsAt = maxOf(call.lastEventAt ?: askedAt, askedAt) + call.patience.limit
             if (mayMove && now >= stallsAt) {
                 if (rooms.mayRepeat(call.service, now)) {
                     return AttemptOutcome.Failed(FailureKind.MAY_HAVE_RUN, "stream stalled", mayRepeat = true)
