Give each listener of a test a port of its own

Traced to the fixture: it chose four ports by opening and closing listeners before the gateway bound them, and the operating system gave the same port again: within 4,000 such draws 3,039 were different, and 5 of 5,000 sets of four held one twice. Ruled out: outgoing connections (even ports here, all listeners' are odd).

The demo's fleet had the same fault and gives no port twice now.

--- a/demo/src/main/kotlin/io/kumquattrail/demo/LocalFleet.kt
+++ b/demo/src/main/kotlin/io/kumquattrail/demo/LocalFleet.kt
@@ -17,6 +17,7 @@
 import io.vertx.core.json.JsonArray
 import io.vertx.core.json.JsonObject
 import java.net.ServerSocket
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -189,6 +190,9 @@
         private const val WARM_CONCURRENCY = 32
         private const val FAR_FUTURE_MILLISECONDS = 4_102_444_800_000L
 
-        private fun freePort(): Int = ServerSocket(0).use { it.localPort }
+        private val givenPorts = ConcurrentHashMap.newKeySet<Int>()
+
+        // The operating system hands out a port again once it is closed; two listeners must not get the same one.
+        private fun freePort(): Int = generateSequence { ServerSocket(0).use { it.localPort } }.first(givenPorts::add)
     }
 }
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/GatewayFixture.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/GatewayFixture.kt
@@ -18,13 +18,13 @@
 import io.kumquattrail.forward.call.ForwardingHeaders
 import io.kumquattrail.forward.call.SharedLimits
 import io.kumquattrail.forward.expert.RankControl
+import io.kumquattrail.forward.http.LoopbackPorts
 import io.kumquattrail.forward.http.NetworkAddress
 import io.kumquattrail.forward.log.EventLog
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import java.io.ByteArrayOutputStream
 import java.net.InetSocketAddress
-import java.net.ServerSocket
 import java.net.Socket
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -47,8 +47,6 @@
         faultyServer = "Faulty",
     )
 
-private fun freePort(): Int = ServerSocket(0).use { it.localPort }
-
 private fun route(
     kind: RouteKind,
     timeout: Duration,
@@ -89,17 +87,17 @@
     confirmed: Boolean = true,
     slots: Int = 8,
 ) : AutoCloseable {
-    private val callerPort = freePort()
+    private val callerPort = LoopbackPorts.take()
     private val logged = ByteArrayOutputStream()
-    private val metricsPort = freePort()
+    private val metricsPort = LoopbackPorts.take()
     val gateway =
         Gateway(
             settings =
                 GatewaySettings(
-                    process = ProcessName("127.0.0.1:${freePort()}"),
+                    process = ProcessName("127.0.0.1:${LoopbackPorts.take()}"),
                     zone = ZoneName("a"),
                     callerAddress = NetworkAddress("127.0.0.1", callerPort),
-                    readinessAddress = NetworkAddress("127.0.0.1", freePort()),
+                    readinessAddress = NetworkAddress("127.0.0.1", LoopbackPorts.take()),
                     metricsPort = metricsPort,
                     seeds = emptyList(),
                     // Longer than any test, as the configuration is confirmed once only.
