Copy more experts in one map change where the link is fast

Cause: a shift of popularity took two or three map changes, as a rank copied two experts at most in each. Every change has the price of some 24 orders and 1,536 counts, and between them streams are slower.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/ReplicaPlanner.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/ReplicaPlanner.kt
@@ -1,7 +1,9 @@
 package io.kumquattrail.decision.expert.replica
 
+import io.kumquattrail.decision.route.EngineGroupFigures
 import kotlinx.collections.immutable.toImmutableList
 import kotlinx.collections.immutable.toImmutableSet
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Bounds a plan.
@@ -19,7 +21,32 @@
     val copiesPerRank: Int = 2,
     val leastGainPerCopy: Double = 0.02,
     val roundsPerSet: Int = 200,
-)
+) {
+    companion object {
+        /** Time for which callers bear a map that does not suit them, so that one change brings one that does. */
+        private val LONGEST_COPYING = 250.milliseconds
+
+        private const val LEAST_COPIES = 2
+
+        /** More than a shift of popularity calls for, over all sets of a rank. */
+        private const val MOST_COPIES = 6
+
+        /**
+         * Returns the limits of a group with [figures].
+         *
+         * Load pattern: popularity shifts every few seconds. A change has the price of its orders and counts however
+         * many experts it copies, so a rank with a fast link copies at once what the shift calls for.
+         */
+        fun of(figures: EngineGroupFigures): ReplicaLimits {
+            val copies = if (figures.copyTime.isPositive()) LONGEST_COPYING / figures.copyTime else 0.0
+            return ReplicaLimits(
+                placementsPerRank = figures.placementsPerRank,
+                newPerSet = figures.sparePlacements,
+                copiesPerRank = copies.toInt().coerceIn(LEAST_COPIES, MOST_COPIES),
+            )
+        }
+    }
+}
 
 /**
  * Plans an expert map for a popularity, as a change of the present map.
--- a/decision/src/test/kotlin/io/kumquattrail/decision/expert/replica/ReplicaPlannerSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/expert/replica/ReplicaPlannerSpec.kt
@@ -6,11 +6,13 @@
 import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
 import io.kotest.matchers.shouldBe
 import io.kumquattrail.decision.identity.ServerName
+import io.kumquattrail.decision.route.EngineGroupFigures
 import io.kumquattrail.decision.time.MonotonicTime
 import kotlinx.collections.immutable.toImmutableList
 import kotlinx.collections.immutable.toImmutableSet
 import kotlin.math.pow
 import kotlin.random.Random
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -58,6 +60,42 @@
                 }
             }
 
+            // Two copies a rank took two or three changes for each shift, each with the price of its orders and counts.
+            it("takes away two thirds of the excess in one change where the link is fast") {
+                val figures =
+                    EngineGroupFigures(
+                        layerSets = 6,
+                        experts = 64,
+                        placementsPerRank = 11,
+                        sparePlacements = 4,
+                        copyTime = 50.milliseconds,
+                    )
+                var map = mapInTurn(ranks = 8, sets = 6, experts = 64)
+                val random = Random(13)
+                repeat(12) {
+                    val popularity = skewed(sets = 6, experts = 64, random = random, exponent = 1.5)
+                    val planned = ReplicaPlanner(ReplicaLimits.of(figures)).plan(map, popularity)
+                    (planned.imbalance(popularity) - 1) shouldBeLessThan (map.imbalance(popularity) - 1) / 3
+                    map = planned
+                }
+            }
+
+            it("copies no longer than callers bear a map that does not suit them") {
+                fun limits(copyTime: Duration) =
+                    ReplicaLimits.of(
+                        EngineGroupFigures(
+                            layerSets = 4,
+                            experts = 64,
+                            placementsPerRank = 5,
+                            sparePlacements = 2,
+                            copyTime = copyTime,
+                        ),
+                    )
+                listOf(13, 50, 111, 400).map { limits(copyTime = it.milliseconds).copiesPerRank } shouldBe
+                    listOf(6, 5, 2, 2)
+                limits(copyTime = Duration.ZERO).copiesPerRank shouldBe 2
+            }
+
             it("keeps every expert somewhere and every rank within its places, so that ranks accept it") {
                 var map = mapInTurn(ranks = 16, sets = 4, experts = 64)
                 val random = Random(12)
--- a/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
@@ -292,8 +292,7 @@
             state.log.log("map_undecided", "group" to view.group, "evidence" to view.counter.evidence.toLong())
             return Improvement.UNDECIDED
         }
-        val planner =
-            ReplicaPlanner(ReplicaLimits(figures.placementsPerRank, newPerSet = figures.sparePlacements))
+        val planner = ReplicaPlanner(ReplicaLimits.of(figures))
         val began = ProcessClock.monotonic()
         val planned = withContext(planning) { planner.plan(map, popularity) }
         val before = map.imbalance(popularity)
