Read the expert counts of one rank instead of two

Cause: counts read from another VM are the largest price of maps, 1,536 numbers for each change. Requests are spread evenly over the ranks, and one rank makes thousands of choices in the 120 ms of a sample.

If the rank does not answer, the counts of the next one are read, so a single silent rank does not leave its group without changes.

--- a/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
@@ -272,11 +272,8 @@
         view: GroupView,
         figures: EngineGroupFigures,
     ) {
-        val step = maxOf(1, view.ranks.size / SAMPLED_RANKS)
-        val sampled = view.ranks.filterIndexed { index, _ -> index % step == 0 }
-        val readings = coroutineScope { sampled.map { async { control.choices(it, figures) } }.awaitAll() }
-        val now = ProcessClock.monotonic()
-        readings.filterNotNull().forEach { view.counter.read(it, now) }
+        val reading = control.choices(view.countedRank, figures) ?: return view.countAnotherRank()
+        view.counter.read(reading, ProcessClock.monotonic())
     }
 
     private fun rounded(imbalance: Double): Double = (imbalance * ROUNDING).roundToInt() / ROUNDING
@@ -384,9 +381,6 @@
         /** Time after a look that showed too little; a few passes. */
         val UNDECIDED_PAUSE = 250.milliseconds
 
-        /** Ranks whose counts are read in a round. Counts read from another VM pause the group for a moment. */
-        const val SAMPLED_RANKS = 2
-
         /** Time between attempts to find a complete group; one forms anew in seconds. */
         val SURVEY_PAUSE = 300.milliseconds
 
--- a/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupView.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupView.kt
@@ -28,8 +28,21 @@
     /** Time of the last look if it showed too little to decide. */
     var undecidedAt: MonotonicTime? = null
     val counter = ChoiceCounter()
+
+    /**
+     * Rank whose counts are read. Requests are spread evenly over the ranks, so those of one show the popularity; each
+     * reading from another VM pauses the group for a moment.
+     */
+    var countedRank: BackendServer = ranks.first()
+        private set
     val pace = PaceWatch()
 
     /** Servers of the group. */
     val members: Set<ServerName> = ranks.mapTo(HashSet()) { it.name }
+
+    /** Goes over to the counts of the next rank, as the present one does not answer. */
+    fun countAnotherRank() {
+        countedRank = ranks[(ranks.indexOf(countedRank) + 1) % ranks.size]
+        counter.reset()
+    }
 }
--- a/forward/src/test/kotlin/io/kumquattrail/forward/expert/GroupKeeperSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/expert/GroupKeeperSpec.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.shouldBe
 import io.kumquattrail.decision.catalogue.BackendServer
@@ -118,9 +119,12 @@
     }
 }
 
-/** Groups of two ranks each; the second rank of every group has all the load. */
-private class SeveralUnevenGroups : RankControl {
+/** Groups of two ranks each; the second rank of every group has all the load. Ranks in [silent] tell no counts. */
+private class SeveralUnevenGroups(
+    private val silent: Set<String> = emptySet(),
+) : RankControl {
     private val chosen = HashMap<String, LongArray>()
+    val counted = HashSet<String>()
     val prepared = HashSet<GroupName>()
 
     private fun group(server: BackendServer) = GroupName("g${server.port / 2}")
@@ -148,7 +152,9 @@
     override suspend fun choices(
         server: BackendServer,
         figures: EngineGroupFigures,
-    ): RankChoices {
+    ): RankChoices? {
+        counted += server.name.value
+        if (server.name.value in silent) return null
         val counts = chosen.getOrPut(server.name.value) { LongArray(4) }
         listOf(1, 3).forEach { counts[it] += 100_000L }
         return RankChoices(server.name, epoch = 1L + server.port / 2, choices = listOf(counts.copyOf()))
@@ -192,62 +198,66 @@
     return state
 }
 
+/** Runs a keeper of [state]'s groups until [isDone], at most for five seconds, and calls [meanwhile] now and then. */
+private fun keepMaps(
+    control: RankControl,
+    state: GatewayState = gatewayState(),
+    meanwhile: (GroupKeeper) -> Unit = {},
+    isDone: () -> Boolean,
+) = runBlocking {
+    val keeping = Job()
+    val keeper = GroupKeeper(state, control, peers = { emptyList() })
+    keeper.start(CoroutineScope(coroutineContext + keeping))
+    withTimeoutOrNull(5.seconds) {
+        while (!isDone()) {
+            meanwhile(keeper)
+            delay(20)
+        }
+    }
+    keeping.cancel()
+}
+
+private fun slow(vararg servers: String): (GroupKeeper) -> Unit =
+    { keeper -> servers.forEach { keeper.paused(ServerName(it), 180.milliseconds, ProcessClock.monotonic()) } }
+
 class GroupKeeperSpec :
     DescribeSpec({
         describe("a group that has just begun to work again when a gateway takes over its maps") {
             it("is looked at until there are choices to judge by, not only at the next regular look") {
                 val control = QuietThenBusyGroup(busyAt = 4)
-                val planned =
-                    runBlocking {
-                        val keeping = Job()
-                        val keeper = GroupKeeper(gatewayState(), control, peers = { emptyList() })
-                        keeper.start(CoroutineScope(coroutineContext + keeping))
-                        val found =
-                            withTimeoutOrNull(3.seconds) {
-                                while (control.prepared.get() == 0) {
-                                    keeper.paused(ServerName("s1"), 180.milliseconds, ProcessClock.monotonic())
-                                    delay(20)
-                                }
-                                true
-                            }
-                        keeping.cancel()
-                        found
-                    }
-                planned shouldBe true
+                keepMaps(control, meanwhile = slow("s1")) { control.prepared.get() > 0 }
+                control.prepared.get() shouldBeGreaterThan 0
             }
         }
 
         describe("a service whose servers form several groups") {
             it("has the map of each group changed, as ranks 0 of two groups are no ranks of one") {
                 val control = SeveralUnevenGroups()
-                runBlocking {
-                    val keeping = Job()
-                    val keeper = GroupKeeper(gatewayState(serverCount = 4), control, peers = { emptyList() })
-                    keeper.start(CoroutineScope(coroutineContext + keeping))
-                    withTimeoutOrNull(5.seconds) {
-                        while (control.prepared.size < 2) {
-                            listOf("s1", "s3").forEach {
-                                keeper.paused(ServerName(it), 180.milliseconds, ProcessClock.monotonic())
-                            }
-                            delay(20)
-                        }
-                    }
-                    keeping.cancel()
-                }
+                keepMaps(control, gatewayState(serverCount = 4), slow("s1", "s3")) { control.prepared.size == 2 }
                 control.prepared shouldBe setOf(GroupName("g0"), GroupName("g1"))
             }
         }
 
+        describe("the counts of a group") {
+            it("are read at one rank only, as each reading pauses the group") {
+                val control = SeveralUnevenGroups()
+                keepMaps(control, meanwhile = slow("s1")) { control.prepared.isNotEmpty() }
+                control.prepared shouldBe setOf(GroupName("g0"))
+                control.counted shouldBe setOf("s0")
+            }
+
+            it("are read at another rank if that one does not tell them, so that the group is not left as it is") {
+                val control = SeveralUnevenGroups(silent = setOf("s0"))
+                keepMaps(control, meanwhile = slow("s1")) { control.prepared.isNotEmpty() }
+                control.prepared shouldBe setOf(GroupName("g0"))
+                control.counted shouldBe setOf("s0", "s1")
+            }
+        }
+
         describe("a group that a gateway has left held") {
             it("is released after the survey, before any silence of the group is noticed") {
                 val control = HeldGroup()
-                runBlocking {
-                    val keeping = Job()
-                    val keeper = GroupKeeper(gatewayState(), control, peers = { emptyList() })
-                    keeper.start(CoroutineScope(coroutineContext + keeping))
-                    withTimeoutOrNull(5.seconds) { while (control.heldPass != null) delay(20) }
-                    keeping.cancel()
-                }
+                keepMaps(control) { control.heldPass == null }
                 control.heldPass.shouldBeNull()
             }
 
@@ -255,16 +265,7 @@
                 val control = HeldGroup()
                 val state = gatewayState()
                 state.loads.started(ServerName("s1"))
-                runBlocking {
-                    val keeping = Job()
-                    GroupKeeper(
-                        state,
-                        control,
-                        peers = { emptyList() },
-                    ).start(CoroutineScope(coroutineContext + keeping))
-                    withTimeoutOrNull(5.seconds) { while (control.heldPass != null) delay(20) }
-                    keeping.cancel()
-                }
+                keepMaps(control, state) { control.heldPass == null }
                 control.heldPass.shouldBeNull()
                 control.orders shouldContain ("s0" to RankOrder.Hold(pass = 7))
             }
