Forecast the pass at which a group is held for a map change

Cause: ranks report the pass they are in some 200 ms late. The first hold of a change named the pass after the reported one, had begun long ago and was refused, up to six times; a quarter of all orders were such holds.

The first hold now names the pass that the group has probably reached, from the pace that streams show and a lag that is learned from refused holds. One that is too far ahead lets the group run a few passes more.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/MapSwitch.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/MapSwitch.kt
@@ -102,6 +102,9 @@
     val isOver: Boolean
         get() = phase in setOf(MapSwitchPhase.DONE, MapSwitchPhase.ABANDONED, MapSwitchPhase.FENCED)
 
+    /** Holds that the first rank has refused, as their passes had begun. */
+    val refusedHolds: Int get() = holdsTried
+
     /** Pass at which ranks switch; 0 before it is chosen. */
     val switchPass: Long get() = pass
 
@@ -174,9 +177,17 @@
         advance()
     }
 
-    /** Takes in that [rank] has copied all experts of the new map. */
-    fun copied(rank: Int) {
+    /**
+     * Takes in that [rank] has copied all experts of the new map.
+     *
+     * @param reachedPass pass that the group has probably reached.
+     */
+    fun copied(
+        rank: Int,
+        reachedPass: Long = lastPass,
+    ) {
         if (phase != MapSwitchPhase.PREPARING) return
+        lastPass = maxOf(lastPass, reachedPass)
         ranks[rank].copied = true
         ranks[rank].accepted = true
         if (!ranks.all { it.copied }) return
--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/PaceWatch.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/PaceWatch.kt
@@ -27,6 +27,9 @@
     /** Whether the group has written anything since the last restart. */
     val isObserved: Boolean get() = pauses.isNotEmpty()
 
+    /** Returns the time between two passes that streams show now, or `null` when they show too little. */
+    fun passTime(now: MonotonicTime): Duration? = present(now)
+
     /** Takes in a pause between two events of one stream. */
     fun observed(
         pause: Duration,
--- a/decision/src/test/kotlin/io/kumquattrail/decision/expert/replica/MapSwitchSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/expert/replica/MapSwitchSpec.kt
@@ -149,6 +149,7 @@
     private val group: SimulatedGroup,
     private val fence: Long,
     private val switch: MapSwitch,
+    private val reachedPass: () -> Long = { 0 },
 ) {
     private val arriving = ArrayList<Triple<MonotonicTime, DueOrder, OrderAnswer>>()
 
@@ -158,7 +159,9 @@
             .also { arriving.removeAll(it.toSet()) }
             .forEach { (_, due, answer) -> switch.answered(due.rank, due.order, answer, group.now) }
         if (switch.awaitsReport) switch.reported(group.states(), group.now)
-        if (switch.awaitsCopies) switch.copying.forEach { if (group.ranks[it].prepared != null) switch.copied(it) }
+        if (switch.awaitsCopies) {
+            switch.copying.forEach { if (group.ranks[it].prepared != null) switch.copied(it, reachedPass()) }
+        }
         switch.due(group.now).forEach { due ->
             val answer = group.send(due, fence)
             val delay = if (answer == OrderAnswer.UNKNOWN) 150.milliseconds else TICK
@@ -214,6 +217,24 @@
             }
         }
 
+        describe("a switch whose first hold is forecast wrongly, behind the group or several passes ahead of it") {
+            it("never lets a pass begin with two maps, and mostly comes to its end") {
+                var done = 0
+                repeat(300) { seed ->
+                    val random = Random(seed)
+                    val group = SimulatedGroup(random, lostShare = 0.2)
+                    val switch = group.begin(version = 1)
+                    val driver =
+                        Driver(group, fence = 10, switch) { group.states().maxOf { it.pass } + random.nextInt(0, 12) }
+                    group.run(driver, until = { switch.isOver })
+                    if (switch.phase == MapSwitchPhase.DONE) done += 1
+                    repeat(2_000) { group.tick() }
+                    group.torn.shouldBeEmpty()
+                }
+                done shouldBeGreaterThan 200
+            }
+        }
+
         describe("a process that takes over a group in the middle of a switch") {
             it("leaves no pass with two maps and no group held, wherever the other one stopped") {
                 repeat(400) { seed ->
--- a/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/expert/GroupKeeper.kt
@@ -8,6 +8,7 @@
 import io.kumquattrail.decision.expert.replica.MapSwitch
 import io.kumquattrail.decision.expert.replica.MapSwitchPhase
 import io.kumquattrail.decision.expert.replica.MapSwitchSettings
+import io.kumquattrail.decision.expert.replica.PassForecast
 import io.kumquattrail.decision.expert.replica.ReplicaLimits
 import io.kumquattrail.decision.expert.replica.ReplicaMap
 import io.kumquattrail.decision.expert.replica.ReplicaPlanner
@@ -58,6 +59,7 @@
 
     // Group that each server has reported last, also while the group is not complete.
     private val reported = HashMap<ServerName, GroupName>()
+    private val passForecast = PassForecast()
     private val leadership = MapLeadership(state.process)
 
     // Groups, and services under their survey, on which a coroutine works. It may outlast the role of the process.
@@ -329,9 +331,16 @@
         // Two processes that begin at once must not give two maps one version.
         val version = view.highestVersion + 1 + random.nextInt(VERSION_SPREAD)
         view.highestVersion = version
-        val switch = MapSwitch.begin(states, version, planned, ProcessClock.monotonic(), switchSettings)
-        switches.run(view, switch, version, copyTime)
-        if (switch.phase == MapSwitchPhase.DONE) view.map = planned else forget(view)
+        val reportedAt = ProcessClock.monotonic()
+        val reported = states.maxOf { it.pass }
+        val passTime = view.pace.passTime(reportedAt) ?: Duration.ZERO
+        val switch = MapSwitch.begin(states, version, planned, reportedAt, switchSettings)
+        switches.run(view, switch, version, copyTime) {
+            passForecast.reached(reported, age = ProcessClock.monotonic() - reportedAt, passTime)
+        }
+        if (switch.phase != MapSwitchPhase.DONE) return forget(view)
+        passForecast.holdAccepted(switch.refusedHolds, passTime)
+        view.map = planned
     }
 
     private suspend fun takeOver(view: GroupView) {
--- a/forward/src/main/kotlin/io/kumquattrail/forward/expert/MapSwitchRunner.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/expert/MapSwitchRunner.kt
@@ -31,12 +31,14 @@
      *
      * @param version version of the new map; 0 when a switch is taken over.
      * @param copyTime time in which the ranks copy the experts of the new map.
+     * @param reachedPass returns the pass that the group has probably reached.
      */
     suspend fun run(
         view: GroupView,
         switch: MapSwitch,
         version: Long,
         copyTime: Duration,
+        reachedPass: () -> Long = { 0 },
     ) {
         val began = ProcessClock.monotonic()
         val fence = maxOf(lastFence + FENCES_PER_SWITCH, ProcessClock.wall().milliseconds)
@@ -66,7 +68,7 @@
                 if (switch.awaitsCopies) {
                     delay(if (waitedForCopies) COPY_POLL else copyTime * COPY_TIME_MARGIN)
                     waitedForCopies = true
-                    findCopied(view, switch, version)
+                    findCopied(view, switch, version, reachedPass)
                 }
             }
         }
@@ -79,6 +81,7 @@
             "epoch" to view.epoch,
             "fence" to fence,
             "pass" to switch.switchPass,
+            "refused_holds" to switch.refusedHolds,
             "prepared_ms" to armed?.inWholeMilliseconds,
             "total_ms" to (ProcessClock.monotonic() - began).inWholeMilliseconds,
         )
@@ -88,10 +91,11 @@
         view: GroupView,
         switch: MapSwitch,
         version: Long,
+        reachedPass: () -> Long,
     ) = coroutineScope {
         switch.copying.forEach { rank ->
             launch {
-                if (control.holdings(view.ranks[rank])?.preparedVersion == version) switch.copied(rank)
+                if (control.holdings(view.ranks[rank])?.preparedVersion == version) switch.copied(rank, reachedPass())
             }
         }
     }
