--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/MapSwitch.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/MapSwitch.kt
@@ -103,7 +103,8 @@
         get() = phase in setOf(MapSwitchPhase.DONE, MapSwitchPhase.ABANDONED, MapSwitchPhase.FENCED)
 
     /** Holds that the first rank has refused, as their passes had begun. */
-    val refusedHolds: Int get() = holdsTried
+    var refusedHolds = 0
+        private set
 
     /** Pass at which ranks switch; 0 before it is chosen. */
     val switchPass: Long get() = pass
@@ -243,6 +244,7 @@
             is RankOrder.Hold -> {
                 lastPass = maxOf(lastPass, order.pass)
                 holdsTried += 1
+                refusedHolds += 1
                 if (holdsTried < settings.holdsAtMost) hold() else phase = MapSwitchPhase.ABANDONED
             }
 
--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/PassForecast.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/PassForecast.kt
@@ -8,8 +8,12 @@
  * Load pattern: popularity shifts every few seconds, and each change begins with the hold of a pass that has not begun.
  * A hold that comes too late is refused, has a price, and delays the change. One that is too far ahead only lets the
  * group run a few passes more. The lag is learned from the holds that were refused.
+ *
+ * @property longestLag lag that no report exceeds, so that holds refused for another reason do not delay later changes.
  */
-class PassForecast {
+class PassForecast(
+    private val longestLag: Duration = MapSwitchSettings().reportLag,
+) {
     private var lag = Duration.ZERO
 
     /** Returns the pass that the group has probably reached [age] after its report of [reported]. */
@@ -25,7 +29,7 @@
         passTime: Duration,
     ) {
         val change = if (refusals > 0) passTime * refusals * LEARNING_SHARE else -passTime * FORGETTING_SHARE
-        lag = (lag + change).coerceAtLeast(Duration.ZERO)
+        lag = (lag + change).coerceIn(Duration.ZERO, longestLag)
     }
 
     private companion object {
--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/ReplicaPlanner.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/ReplicaPlanner.kt
@@ -28,7 +28,7 @@
 
         private const val LEAST_COPIES = 2
 
-        /** More than a shift of popularity calls for, over all sets of a rank. */
+        /** Copies of a rank with a very fast link; more gain little for their price. */
         private const val MOST_COPIES = 6
 
         /**
--- a/decision/src/main/kotlin/io/kumquattrail/decision/route/WatchPacing.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/route/WatchPacing.kt
@@ -28,7 +28,7 @@
     }
 
     private companion object {
-        /** Share of the longest wait that each watch lasts at least, as a change is often followed by another. */
+        /** Least share of the longest wait; a shorter watch costs a call and confirms hardly more than the change did. */
         const val LEAST_SHARE = 0.2
     }
 }
--- a/decision/src/test/kotlin/io/kumquattrail/decision/expert/replica/PassForecastSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/expert/replica/PassForecastSpec.kt
@@ -51,6 +51,14 @@
             }
         }
 
+        describe("holds that are refused again and again for another reason than the lag of reports") {
+            it("do not put off later changes by more than that lag") {
+                val forecast = PassForecast(longestLag = 350.milliseconds)
+                repeat(20) { forecast.holdAccepted(refusals = 40, passTime = 60.milliseconds) }
+                forecast.reached(reported = 100, age = Duration.ZERO, passTime = 50.milliseconds) shouldBe 107
+            }
+        }
+
         describe("a forecast without a known pace") {
             it("is the reported pass") {
                 PassForecast().reached(reported = 7, age = 300.milliseconds, passTime = Duration.ZERO) shouldBe 7
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -520,6 +520,7 @@
         /** Time after the start within which the store and the peers answer, if they can be reached. */
         val START_TIME = 250.milliseconds
 
+        /** Interval at which a request of that time looks whether the start is complete; short against its target. */
         val START_POLL = 5.milliseconds
 
         /** Time to return when neither the store nor peers have answered. */
