--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -36,6 +36,7 @@
     private val rooms: RoomFinder,
     private val headers: ForwardingHeaders,
     private val metrics: ForwardingMetrics,
+    private val startTime: Duration,
     onPause: (ServerName, Duration, MonotonicTime) -> Unit,
     private val random: Random = Random.Default,
 ) : CallerRequestHandler {
@@ -91,7 +92,7 @@
      * milliseconds later, so a caller of that time is served then; a refusal would bring it back half a second later.
      */
     private suspend fun configurationAfterStart(): RoutingConfiguration? {
-        while (!state.hasStarted && ProcessClock.monotonic() - state.startedAt < START_TIME) delay(START_POLL)
+        while (!state.hasStarted && ProcessClock.monotonic() - state.startedAt < startTime) delay(START_POLL)
         // A store may have come back from an older copy, with keys that were withdrawn; peers know better.
         return state.configuration?.takeIf { state.peersAsked }
     }
@@ -517,9 +518,6 @@
         /** New connections reach other processes at once. */
         val STOPPING_RETRY = 50.milliseconds
 
-        /** Time after the start within which the store and the peers answer, if they can be reached. */
-        val START_TIME = 250.milliseconds
-
         /** Interval at which a request of that time looks whether the start is complete; short against its target. */
         val START_POLL = 5.milliseconds
 
--- a/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
@@ -46,6 +46,8 @@
  * @property seeds addresses of other gateways, some of which may be gone.
  * @property keyTrust time for which a confirmed configuration is good for checking keys.
  * @property shutdownTime time from a stop signal to the end of the process.
+ * @property startTime time after the start within which the store and the peers answer, if they can be reached; callers
+ *   of that time wait for them.
  * @property responseLimits bounds on what servers may send.
  */
 data class GatewaySettings(
@@ -58,6 +60,7 @@
     val keyTrust: Duration,
     val shutdownTime: Duration,
     val sharedLimits: SharedLimits,
+    val startTime: Duration = 250.milliseconds,
     val responseLimits: ResponseLimits = ResponseLimits(),
 )
 
@@ -115,6 +118,7 @@
             rooms = RoomFinder(state, settings.sharedLimits),
             headers = headers,
             metrics = metrics,
+            startTime = settings.startTime,
             onPause = { server, pause, now -> groupKeeper?.paused(server, pause, now) },
         )
     private var groupKeeper: GroupKeeper? = null
@@ -142,6 +146,7 @@
                 }
             }
         }
+        state.startedAt = ProcessClock.monotonic()
         callerListener.bind(settings.callerAddress)
         peers.start(scope)
         source.start(scope)
--- a/forward/src/main/kotlin/io/kumquattrail/forward/process/GatewayState.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/process/GatewayState.kt
@@ -64,8 +64,8 @@
     /** Called when a change of the state may have made room for waiting requests. */
     var onChange: () -> Unit = {}
 
-    /** Time at which the process began, a moment before it listens. */
-    val startedAt: MonotonicTime = ProcessClock.monotonic()
+    /** Time at which the process began to listen for callers. */
+    var startedAt: MonotonicTime = ProcessClock.monotonic()
 
     /** Whether all that requests need is known. */
     val hasStarted: Boolean get() = peersAsked && configuration != null && serversKnown
