--- a/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
@@ -46,8 +46,8 @@
  * @property seeds addresses of other gateways, some of which may be gone.
  * @property keyTrust time for which a confirmed configuration is good for checking keys.
  * @property shutdownTime time from a stop signal to the end of the process.
- * @property startTime time after the start within which the store and the peers answer, if they can be reached; callers
- *   of that time wait for them.
+ * @property startTime time after the start within which the store and the peers have answered, if they can be reached;
+ *   callers of that time wait for them.
  * @property responseLimits bounds on what servers may send.
  */
 data class GatewaySettings(
