Let the stand-ins of GroupKeeperSpec share what ranks answer

Three stand-ins repeated state, holdings and the signature of an order. One base describes groups of two ranks; each stand-in keeps what it counts or refuses. The assertions are the same.

--- a/forward/src/test/kotlin/io/kumquattrail/forward/expert/GroupKeeperSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/expert/GroupKeeperSpec.kt
@@ -37,16 +37,29 @@
 private val SERVICE = ServiceName("drafting")
 private val FIGURES = EngineGroupFigures(layerSets = 1, experts = 4, placementsPerRank = 3, sparePlacements = 1)
 
-/** Two ranks of one open group, each with the experts of map 0. */
-private abstract class TwoRanks : RankControl {
+/** Groups of two ranks each, with the experts of map 0; a server's port gives its group and rank. */
+private abstract class GroupsOfTwo : RankControl {
+    fun group(server: BackendServer) = GroupName("g${server.port / 2}")
+
     open fun heldPass(server: BackendServer): Long? = null
 
+    /** Answers [order], which [server] has got; accepts it unless overridden. */
+    open fun answer(
+        server: BackendServer,
+        order: RankOrder,
+    ): OrderAnswer = OrderAnswer.ACCEPTED
+
+    fun choices(
+        server: BackendServer,
+        counts: LongArray,
+    ) = RankChoices(server.name, epoch(server), choices = listOf(counts.copyOf()))
+
     override suspend fun state(server: BackendServer) =
         RankState(
             server = server.name,
-            group = GroupName("g"),
-            epoch = 1,
-            rank = server.port,
+            group = group(server),
+            epoch = epoch(server),
+            rank = server.port % 2,
             size = 2,
             isOpen = true,
             pass = 6,
@@ -56,15 +69,24 @@
 
     override suspend fun holdings(server: BackendServer) =
         RankHoldings(
-            epoch = 1,
+            epoch = epoch(server),
             mapVersion = 0,
             preparedVersion = null,
-            experts = listOf(setOf(server.port, server.port + 2)),
+            experts = listOf(setOf(server.port % 2, server.port % 2 + 2)),
         )
+
+    override suspend fun order(
+        server: BackendServer,
+        order: RankOrder,
+        epoch: Long,
+        fence: Long,
+    ): OrderAnswer = answer(server, order)
+
+    private fun epoch(server: BackendServer) = 1L + server.port / 2
 }
 
 /** Two ranks, of which the first holds the group before a pass, as a gateway that is gone has left them. */
-private class HeldGroup : TwoRanks() {
+private class HeldGroup : GroupsOfTwo() {
     var heldPass: Long? = 7
     val orders = ArrayList<Pair<String, RankOrder>>()
 
@@ -73,13 +95,11 @@
     override suspend fun choices(
         server: BackendServer,
         figures: EngineGroupFigures,
-    ) = RankChoices(server.name, epoch = 1, choices = listOf(longArrayOf(1, 1, 1, 1)))
+    ) = choices(server, longArrayOf(1, 1, 1, 1))
 
-    override suspend fun order(
+    override fun answer(
         server: BackendServer,
         order: RankOrder,
-        epoch: Long,
-        fence: Long,
     ): OrderAnswer {
         orders += server.name.value to order
         if (order is RankOrder.Release) heldPass = null
@@ -90,7 +110,7 @@
 /** Two ranks of which the second has all the load; few choices are made until [busyAt] readings were taken. */
 private class QuietThenBusyGroup(
     private val busyAt: Int,
-) : TwoRanks() {
+) : GroupsOfTwo() {
     private var readings = 0
     private val chosen = LongArray(4)
     val prepared = AtomicInteger()
@@ -105,50 +125,26 @@
             chosen[1] += growth
             chosen[3] += growth
         }
-        return RankChoices(server.name, epoch = 1, choices = listOf(chosen.copyOf()))
+        return choices(server, chosen)
     }
 
-    override suspend fun order(
+    override fun answer(
         server: BackendServer,
         order: RankOrder,
-        epoch: Long,
-        fence: Long,
     ): OrderAnswer {
         if (order is RankOrder.Prepare) prepared.incrementAndGet()
         return OrderAnswer.ACCEPTED
     }
 }
 
-/** Groups of two ranks each; the second rank of every group has all the load. Ranks in [silent] tell no counts. */
+/** Groups of which the second rank has all the load. Ranks in [silent] tell no counts. */
 private class SeveralUnevenGroups(
     private val silent: Set<String> = emptySet(),
-) : RankControl {
+) : GroupsOfTwo() {
     private val chosen = HashMap<String, LongArray>()
     val counted = HashSet<String>()
     val prepared = HashSet<GroupName>()
 
-    private fun group(server: BackendServer) = GroupName("g${server.port / 2}")
-
-    override suspend fun state(server: BackendServer) =
-        RankState(
-            server = server.name,
-            group = group(server),
-            epoch = 1L + server.port / 2,
-            rank = server.port % 2,
-            size = 2,
-            isOpen = true,
-            pass = 6,
-            mapVersion = 0,
-        )
-
-    override suspend fun holdings(server: BackendServer) =
-        RankHoldings(
-            epoch = 1L + server.port / 2,
-            mapVersion = 0,
-            preparedVersion = null,
-            experts = listOf(setOf(server.port % 2, server.port % 2 + 2)),
-        )
-
     override suspend fun choices(
         server: BackendServer,
         figures: EngineGroupFigures,
@@ -157,14 +153,12 @@
         if (server.name.value in silent) return null
         val counts = chosen.getOrPut(server.name.value) { LongArray(4) }
         listOf(1, 3).forEach { counts[it] += 100_000L }
-        return RankChoices(server.name, epoch = 1L + server.port / 2, choices = listOf(counts.copyOf()))
+        return choices(server, counts)
     }
 
-    override suspend fun order(
+    override fun answer(
         server: BackendServer,
         order: RankOrder,
-        epoch: Long,
-        fence: Long,
     ): OrderAnswer {
         if (order is RankOrder.Prepare) prepared += group(server)
         return OrderAnswer.ACCEPTED
