Give the delivery of streams a place of its own, and say things once

Found in reading the whole change again; behaviour stays as it is. - CallForwarder had two jobs; StreamDelivery passes events on and gives stalled streams up (539 lines, now 449). - Whether a call may run again stood three times: Call.mayRunAgain. - The spread of times to return stood twice, with two constants. - PaceWatch.passTime was another name for a private function. - A watch's wait was drawn in two branches. - LoopbackPorts named its visibility, as no other file does.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/PaceWatch.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/PaceWatch.kt
@@ -27,9 +27,6 @@
     /** Whether the group has written anything since the last restart. */
     val isObserved: Boolean get() = pauses.isNotEmpty()
 
-    /** Returns the time between two passes that streams show now, or `null` when they show too little. */
-    fun passTime(now: MonotonicTime): Duration? = present(now)
-
     /** Takes in a pause between two events of one stream. */
     fun observed(
         pause: Duration,
@@ -51,7 +48,7 @@
 
     /** Takes the present pace as the reference, as the group was found in order. */
     fun foundInOrder(now: MonotonicTime) {
-        reference = present(now)
+        reference = passTime(now)
         settlesAt = now + settling
     }
 
@@ -60,7 +57,7 @@
         tolerated: Duration,
         now: MonotonicTime,
     ): Boolean {
-        val present = present(now) ?: return false
+        val present = passTime(now) ?: return false
         if (now < settlesAt) return false
         // Without a reference, a group that does not satisfy its callers is worth a look, and its pace is no reference: a
         // process that begins to watch after a shift would take the slow pace for the usual one.
@@ -73,9 +70,10 @@
     fun exceeds(
         tolerated: Duration,
         now: MonotonicTime,
-    ): Boolean = present(now)?.let { it > tolerated } ?: false
+    ): Boolean = passTime(now)?.let { it > tolerated } ?: false
 
-    private fun present(now: MonotonicTime): Duration? {
+    /** Returns the time between two passes that streams show now, or `null` when they show too little. */
+    fun passTime(now: MonotonicTime): Duration? {
         while (pauses.isNotEmpty() && now - pauses.first().at > window) pauses.removeFirst()
         if (pauses.size < LEAST_PAUSES) return null
         val latest = pauses.takeLast(MOST_PAUSES).map { it.length.inWholeNanoseconds }.sorted()
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/Call.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/Call.kt
@@ -36,6 +36,9 @@
     /** Number of sendings that may have run. */
     var runs = 0
 
+    /** Whether the request may be sent again if the present sending may have run. */
+    val mayRunAgain: Boolean get() = route.repeatable && runs + 1 < route.maximumAttempts
+
     /** Whether a server refused it because another rank of its group has failed. */
     var metBrokenGroup = false
 
@@ -96,4 +99,9 @@
         val faultyServer: String? = null,
         val mayRepeat: Boolean = false,
     ) : AttemptOutcome
+
+    companion object {
+        /** The server's answer was broken off or is unusable for [reason]. */
+        fun broken(reason: String): AttemptOutcome = Failed(FailureKind.MAY_HAVE_RUN, reason)
+    }
 }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -43,6 +43,14 @@
     private val translation = RequestTranslation(headers)
     private val pauses =
         StreamPauses(log = state.log, onEvent = state.groups::progressed, onPause = onPause, random = random)
+    private val streams =
+        StreamDelivery(
+            groups = state.groups,
+            rooms = rooms,
+            pauses = pauses,
+            mostEventBytes = pool.limits.eventBytes,
+            onFirstByte = ::firstByte,
+        )
 
     override suspend fun handle(exchange: CallerExchange) {
         val request = exchange.request
@@ -191,11 +199,11 @@
                 }
 
                 is AttemptStart.Unusable -> {
-                    broken(call, started.reason)
+                    AttemptOutcome.broken(started.reason)
                 }
 
                 AttemptStart.Silent -> {
-                    broken(call, "no response in time")
+                    AttemptOutcome.broken("no response in time")
                 }
             }.also { rooms.observed(server, it) }
         } finally {
@@ -212,7 +220,7 @@
     ): AttemptOutcome =
         when {
             response.status !in SUCCESS -> deliverFailure(call, attempt, response)
-            call.route.kind == RouteKind.STREAMING -> deliverStream(call, server, attempt, response)
+            call.route.kind == RouteKind.STREAMING -> streams.deliver(call, server, attempt, response)
             else -> deliverWhole(call, attempt, response)
         }
 
@@ -222,7 +230,7 @@
         response: AttemptStart.Answering,
     ): AttemptOutcome {
         var reason = ""
-        val body = attempt.readBody { reason = it } ?: return broken(call, reason)
+        val body = attempt.readBody { reason = it } ?: return AttemptOutcome.broken(reason)
         call.exchange.respond(HttpReply(response.status, response.headers.endToEnd(), body))
         firstByte(call)
         return AttemptOutcome.Finished(response.status)
@@ -234,122 +242,30 @@
         attempt: ServerAttempt,
         response: AttemptStart.Answering,
     ): AttemptOutcome {
-        val body = attempt.readBody {} ?: return broken(call, "broken failure ${response.status}")
+        val body = attempt.readBody {} ?: return AttemptOutcome.broken("broken failure ${response.status}")
         val reply = HttpReply(response.status, response.headers.endToEnd(), body)
         // These statuses promise callers that nothing ran, which this server has not said.
-        if (response.status in UNPROVED_STATUSES) return broken(call, "status ${response.status} without proof")
+        if (response.status in
+            UNPROVED_STATUSES
+        ) {
+            return AttemptOutcome.broken("status ${response.status} without proof")
+        }
         if (response.status < SERVER_ERRORS) {
-            if (call.exchange.isStarted) return broken(call, "status ${response.status} to a resumed stream")
+            if (call.exchange.isStarted) return AttemptOutcome.broken("status ${response.status} to a resumed stream")
             call.exchange.respond(reply)
             return AttemptOutcome.Finished(response.status)
         }
         return AttemptOutcome.Failed(FailureKind.RAN, "status ${response.status}", reply = reply)
     }
 
-    private suspend fun deliverStream(
-        call: Call,
-        server: BackendServer,
-        attempt: ServerAttempt,
-        response: AttemptStart.Answering,
-    ): AttemptOutcome {
-        call.cursor.nextRun()
-        state.groups.streamBegan(server.name)
-        try {
-            return deliverEvents(call, server, attempt, response)
-        } finally {
-            state.groups.streamEnded(server.name)
-        }
-    }
-
-    private suspend fun deliverEvents(
-        call: Call,
-        server: BackendServer,
-        attempt: ServerAttempt,
-        response: AttemptStart.Answering,
-    ): AttemptOutcome {
-        val mayMove = call.route.repeatable && call.runs + 1 < call.route.maximumAttempts
-        var askedAt = ProcessClock.monotonic()
-        while (true) {
-            val now = ProcessClock.monotonic()
-            // Bytes of an event that is not complete are no progress, also those that arrive as the patience ends.
-            val stallsAt = maxOf(call.lastEventAt ?: askedAt, askedAt) + call.patience.limit
-            if (mayMove && now >= stallsAt) {
-                if (rooms.mayRepeat(call.service, now)) {
-                    return AttemptOutcome.Failed(FailureKind.MAY_HAVE_RUN, "stream stalled", mayRepeat = true)
-                }
-                // Without a retry to spend, the stream may still go on where it is.
-                askedAt = now
-                continue
-            }
-            when (val part = attempt.next(if (mayMove) stallsAt - now else Duration.INFINITE)) {
-                is ResponsePart.Body -> {
-                    val fault = passOn(call, server.name, response, part.bytes)
-                    if (fault != null) return broken(call, fault)
-                }
-
-                ResponsePart.End -> {
-                    if (call.cursor.hasPartialEvent) return broken(call, "stream ended inside an event")
-                    if (!call.exchange.isStarted) call.exchange.start(response.status, response.headers.endToEnd())
-                    call.exchange.end()
-                    return AttemptOutcome.Finished(response.status)
-                }
-
-                is ResponsePart.Broken -> {
-                    return broken(call, part.reason)
-                }
-
-                is ResponsePart.Head -> {
-                    return broken(call, "second head")
-                }
-
-                null -> {
-                    Unit
-                }
-            }
-        }
-    }
-
-    private suspend fun passOn(
-        call: Call,
-        server: ServerName,
-        response: AttemptStart.Answering,
-        bytes: ByteArray,
-    ): String? {
-        call.cursor.accept(bytes).forEach { event ->
-            when (event) {
-                is StreamEvent.Deliver -> {
-                    if (!call.exchange.isStarted) {
-                        call.exchange.start(response.status, response.headers.endToEnd())
-                        firstByte(call)
-                    }
-                    call.exchange.piece(event.bytes)
-                    pauses.eventDelivered(call, server)
-                }
-
-                is StreamEvent.Duplicate -> {
-                    Unit
-                }
-
-                is StreamEvent.Gap -> {
-                    return "events ${event.last} to ${event.id} are missing"
-                }
-            }
-        }
-        val partial = call.cursor.partialBytes
-        return when {
-            partial > pool.limits.eventBytes -> "event of more than $partial bytes"
-            call.cursor.repeatsWithoutEnd -> "old events without end"
-            else -> null
-        }
-    }
-
     private fun mayRetry(
         call: Call,
         failure: AttemptOutcome.Failed,
     ): Boolean {
         if (!failure.kind.provesNotRun) {
+            val mayRunAgain = call.mayRunAgain
             call.runs += 1
-            if (!call.route.repeatable || call.runs >= call.route.maximumAttempts) return false
+            if (!mayRunAgain) return false
         }
         if (call.sendings >= call.route.maximumAttempts + EXTRA_SENDINGS) return false
         // A request that was never sent is no second arrival at a server.
@@ -380,7 +296,7 @@
     ): Duration {
         if (!call.metBrokenGroup) return usual
         val returnsIn = state.groups.returnsIn(call.tried, ProcessClock.monotonic()) ?: GROUP_RETRY
-        return returnsIn * (1 + GROUP_SPREAD * random.nextDouble())
+        return returnsIn.spread(random)
     }
 
     private fun giveUp(
@@ -481,11 +397,6 @@
         metrics.firstByte.labelValues(call.route.kind.name).observe(seconds)
     }
 
-    private fun broken(
-        call: Call,
-        reason: String,
-    ): AttemptOutcome = AttemptOutcome.Failed(FailureKind.MAY_HAVE_RUN, reason)
-
     private fun chooseService(route: Route): ServiceName {
         var rest = random.nextDouble() * route.targets.sumOf { it.weight }
         return route.targets
@@ -495,11 +406,13 @@
             }?.service ?: route.targets.last().service
     }
 
-    private fun patience(call: Call): Duration {
-        val another = call.route.repeatable && call.runs + 1 < call.route.maximumAttempts
-        // Without another attempt, only the deadline ends the wait, and says so to the caller.
-        return if (another) call.route.latencyTarget * SILENCE_IN_TARGETS + SILENCE_ALLOWANCE else Duration.INFINITE
-    }
+    // Without another attempt, only the deadline ends the wait, and says so to the caller.
+    private fun patience(call: Call): Duration =
+        if (call.mayRunAgain) {
+            call.route.latencyTarget * SILENCE_IN_TARGETS + SILENCE_ALLOWANCE
+        } else {
+            Duration.INFINITE
+        }
 
     private companion object {
         const val SERVER_ERRORS = 500
@@ -530,9 +443,6 @@
         /** A failed rank stalls its group for 1.5 s, restarts and joins; callers honour a third of their 8 s. */
         val GROUP_RETRY = 2_200.milliseconds
 
-        /** Share of that time over which returning callers are spread. */
-        const val GROUP_SPREAD = 0.2
-
         /** Time in which a failed server is found and avoided. */
         val FAILED_RETRY = 400.milliseconds
     }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/RoomFinder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/RoomFinder.kt
@@ -50,6 +50,12 @@
     val coldSlack: Double,
 )
 
+// Share of the time to return over which callers are spread.
+private const val RETURN_SPREAD = 0.2
+
+/** Spreads times to return, as callers that return together would meet in one pass of a group. */
+internal fun Duration.spread(random: Random): Duration = this * (1 + RETURN_SPREAD * random.nextDouble())
+
 /** Finds room at servers for calls and keeps the calls that wait for it. It is used on the event loop only. */
 class RoomFinder(
     private val state: GatewayState,
@@ -104,8 +110,7 @@
     ): Room =
         Room.Refused(
             reason = "groups_refuse",
-            // Callers that return together would meet in one pass.
-            retryAfter = decision.returnsIn * (1 + RETURN_SPREAD * random.nextDouble()),
+            retryAfter = decision.returnsIn.spread(random),
             waiting = 0,
         )
 
@@ -280,9 +285,6 @@
         /** Rank of a stream that has broken off, before all others. */
         const val RESUMED_PRIORITY = -1
 
-        /** Share of the time to return over which callers are spread. */
-        const val RETURN_SPREAD = 0.2
-
         /** Share of the retry ratio that is used, as windows of processes and of the platform differ. */
         const val BUDGET_MARGIN = 0.8
 
--- a/forward/src/main/kotlin/io/kumquattrail/forward/http/LoopbackPorts.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/http/LoopbackPorts.kt
@@ -12,14 +12,14 @@
  * A port that the operating system hands out may be handed out again, or be taken by an outgoing connection, before
  * the listener binds it. These ports are below the ranges of outgoing connections, and none is given twice.
  */
-public object LoopbackPorts {
+object LoopbackPorts {
     // Linux hands out ports from 32768 on, IANA reserves those from 49152 on.
     private val RANGE = 20_000 until 32_768
 
     private val next = AtomicInteger(Random.nextInt(RANGE.count()))
 
     /** A port that no program listens on, other than all ports before. */
-    public fun take(): Int =
+    fun take(): Int =
         generateSequence { RANGE.first + next.getAndIncrement().mod(RANGE.count()) }
             .take(RANGE.count())
             .first(::isFree)
