Enforce the configured length of request heads

A caller could send heads of 64 KiB whatever max_header_bytes said, and a head that the decoder's own limit stopped was answered with 400.

--- a/forward/src/main/kotlin/io/kumquattrail/forward/http/CallerConnection.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/http/CallerConnection.kt
@@ -3,6 +3,7 @@
 import io.kumquattrail.decision.route.CallerLimits
 import io.kumquattrail.decision.time.MonotonicTime
 import io.kumquattrail.forward.process.ProcessClock
+import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
@@ -26,6 +27,8 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import io.netty.handler.codec.http.TooLongHttpHeaderException
+import io.netty.handler.codec.http.TooLongHttpLineException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
@@ -71,6 +74,7 @@
     private var rejected = false
     private var lastActivity = ProcessClock.monotonic()
     private var headBegan: MonotonicTime? = null
+    private var headBytes = 0
     private var writable = CompletableDeferred<Unit>()
 
     /** Whether a request is being answered. */
@@ -139,13 +143,16 @@
     ) {
         lastActivity = ProcessClock.monotonic()
         if (rejected) return
-        if (message.decoderResult().isFailure) return reject(HttpResponseStatus.BAD_REQUEST)
+        if (message.decoderResult().isFailure) return reject(statusOf(message.decoderResult().cause()))
         if (message is HttpRequest) onHead(message)
         if (message is HttpContent && reading != null) onContent(message)
     }
 
     private fun onHead(request: HttpRequest) {
         val headers = request.headers()
+        if (sizeOf(request) > state.limits().headerBytes) {
+            return reject(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        }
         // Two lengths in one head let two parsers disagree on where the body ends.
         val ambiguous =
             headers.contains(HttpHeaderNames.TRANSFER_ENCODING) && headers.contains(HttpHeaderNames.CONTENT_LENGTH)
@@ -158,6 +165,7 @@
         }
         reading = request
         headBegan = null
+        headBytes = 0
         body.reset()
     }
 
@@ -185,6 +193,17 @@
         if (waiting.size >= MAXIMUM_WAITING) context.channel().config().isAutoRead = false
     }
 
+    private fun sizeOf(head: HttpRequest): Int =
+        head.method().name().length + head.uri().length +
+            head.headers().iteratorAsString().asSequence().sumOf { (name, value) -> name.length + value.length + SEPARATORS }
+
+    private fun statusOf(failure: Throwable?): HttpResponseStatus =
+        when (failure) {
+            is TooLongHttpHeaderException, is TooLongHttpLineException ->
+                HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+            else -> HttpResponseStatus.BAD_REQUEST
+        }
+
     private fun reject(status: HttpResponseStatus) {
         rejected = true
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER)
@@ -228,14 +247,18 @@
         if (waiting.size < MAXIMUM_WAITING) context.channel().config().isAutoRead = true
     }
 
-    /** Notices when the head of a request begins, which the decoder shows only when the head is complete. */
+    /** Watches the head of a request while it arrives, which the decoder shows only when it is complete. */
     private inner class HeadWatch : ChannelInboundHandlerAdapter() {
         override fun channelRead(
             context: ChannelHandlerContext,
             message: Any,
         ) {
             if (reading == null && headBegan == null) headBegan = ProcessClock.monotonic()
+            val bytes = (message as? ByteBuf)?.readableBytes() ?: 0
             super.channelRead(context, message)
+            if (headBegan == null || rejected) return
+            headBytes += bytes
+            if (headBytes > state.limits().headerBytes) reject(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
         }
     }
 
@@ -318,6 +341,9 @@
     }
 }
 
+// Bytes of a header line beside its name and value: colon, space and line break.
+private const val SEPARATORS = 4
+
 // Requests of one caller that wait for the answer to the one before.
 private const val MAXIMUM_WAITING = 4
 
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/GatewayFixture.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/GatewayFixture.kt
@@ -8,6 +8,7 @@
 import io.kumquattrail.decision.identity.ServerName
 import io.kumquattrail.decision.identity.ServiceName
 import io.kumquattrail.decision.identity.ZoneName
+import io.kumquattrail.decision.route.CallerLimits
 import io.kumquattrail.decision.route.EngineGroupFigures
 import io.kumquattrail.decision.route.Organisation
 import io.kumquattrail.decision.route.Route
@@ -90,6 +91,7 @@
  * @param startTime time after the start for which callers wait for them.
  * @param process address at which other gateways reach this one.
  * @param seeds addresses of other gateways.
+ * @param callerLimits what callers may send.
  */
 internal class GatewayFixture(
     servers: List<ScriptedServer>,
@@ -100,6 +102,7 @@
     startTime: Duration = 250.milliseconds,
     val process: ProcessName = ProcessName("127.0.0.1:${LoopbackPorts.take()}"),
     seeds: List<ProcessName> = emptyList(),
+    private val callerLimits: CallerLimits = CallerLimits(),
 ) : AutoCloseable {
     private val callerPort = LoopbackPorts.take()
     private val logged = ByteArrayOutputStream()
@@ -152,6 +155,7 @@
                 routes = persistentListOf<Route>().addAll(RouteKind.entries.map { route(it, timeout) }),
                 services = persistentMapOf(SERVICE to ServiceDefinition(SERVICE, "/health", 100)),
                 organisations = persistentMapOf("key" to Organisation(OrganisationName("hanbit"))),
+                callerLimits = callerLimits,
             ),
             source = "test",
         )
