Put changed settings into effect without a restart

SIGHUP, and the settings file that changes without it, were logged or not noticed at all, so a gateway whose seeds had been replaced could not find the others after it had lost them, and a tighter bound on withdrawn keys waited for the next restart. Seeds, bounds and times now take effect; addresses and the zone are logged as needing a restart.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/limit/RetryBudget.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/limit/RetryBudget.kt
@@ -32,10 +32,12 @@
      * Tells whether one more attempt is within the budget, and counts it if so.
      *
      * @param leastRetries as the property, for an allowance that changes with the number of gateways.
+     * @param retryShare as the property, for an allowance that changes with the settings.
      */
     fun tryRetry(
         now: MonotonicTime,
         leastRetries: Int = this.leastRetries,
+        retryShare: Double = this.retryShare,
     ): Boolean {
         val current = slotAt(now)
         val counted = slots.filter { it.index > current.index - SLOTS }
--- a/decision/src/main/kotlin/io/kumquattrail/decision/peer/PeerTable.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/peer/PeerTable.kt
@@ -21,7 +21,7 @@
  */
 class PeerTable(
     private val own: ProcessName,
-    private val seeds: List<ProcessName>,
+    var seeds: List<ProcessName>,
     private val interval: Duration,
 ) {
     private val heard = HashMap<ProcessName, MonotonicTime>()
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -35,7 +35,7 @@
     scope: CoroutineScope,
     private val state: GatewayState,
     private val pool: ServerConnectionPool,
-    private val access: AccessPolicy,
+    private val access: () -> AccessPolicy,
     private val rooms: RoomFinder,
     private val headers: ForwardingHeaders,
     private val metrics: ForwardingMetrics,
@@ -66,7 +66,7 @@
             configurationAfterStart()
                 ?: return refuse(exchange, requestId, 503, "no_configuration", STARTING_RETRY)
         val decision =
-            access.decide(
+            access().decide(
                 configuration = configuration,
                 age = state.confirmedAge(),
                 host = request.headers.get("Host").orEmpty(),
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/RoomFinder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/RoomFinder.kt
@@ -62,7 +62,7 @@
 /** Finds room at servers for calls and keeps the calls that wait for it. It is used on the event loop only. */
 class RoomFinder(
     private val state: GatewayState,
-    private val limits: SharedLimits,
+    private val limits: () -> SharedLimits,
 ) {
     private val placement = EvenPlacement(loads = state.loads, ownZone = state.zone, groups = state.groups)
     private val coldRate = ColdRateLimit(state.allowance)
@@ -184,7 +184,8 @@
         line(service).budget.tryRetry(
             now = now,
             // Other processes appear after the service's first request; a part fixed then would exceed the total.
-            leastRetries = state.allowance.partOf(limits.retryExtra).toInt(),
+            leastRetries = state.allowance.partOf(limits().retryExtra).toInt(),
+            retryShare = limits().retryRatio * BUDGET_MARGIN,
         )
 
     /** Serves calls that wait for reasons that pass with time. */
@@ -250,7 +251,7 @@
     ): PlacementDecision {
         val service = state.configuration?.services?.get(call.service)
         val coldRequests = service?.coldRequestsPerSecond
-        val total = coldRequests?.let { it * limits.coldFactor + limits.coldSlack }
+        val total = coldRequests?.let { it * limits().coldFactor + limits().coldSlack }
         return placement.choose(
             servers = state.catalogue.usable(call.service),
             excluded = call.tried,
@@ -273,13 +274,7 @@
 
     private fun line(service: ServiceName): ServiceLine =
         lines.getOrPut(service) {
-            ServiceLine(
-                budget =
-                    RetryBudget(
-                        retryShare = limits.retryRatio * BUDGET_MARGIN,
-                        window = limits.retryWindow,
-                    ),
-            )
+            ServiceLine(budget = RetryBudget(window = limits().retryWindow))
         }
 
     private class ServiceLine(
--- a/forward/src/main/kotlin/io/kumquattrail/forward/http/CallerConnection.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/http/CallerConnection.kt
@@ -195,13 +195,20 @@
 
     private fun sizeOf(head: HttpRequest): Int =
         head.method().name().length + head.uri().length +
-            head.headers().iteratorAsString().asSequence().sumOf { (name, value) -> name.length + value.length + SEPARATORS }
+            head.headers().iteratorAsString().asSequence().sumOf { (name, value) ->
+                name.length + value.length +
+                    SEPARATORS
+            }
 
     private fun statusOf(failure: Throwable?): HttpResponseStatus =
         when (failure) {
-            is TooLongHttpHeaderException, is TooLongHttpLineException ->
+            is TooLongHttpHeaderException, is TooLongHttpLineException -> {
                 HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-            else -> HttpResponseStatus.BAD_REQUEST
+            }
+
+            else -> {
+                HttpResponseStatus.BAD_REQUEST
+            }
         }
 
     private fun reject(status: HttpResponseStatus) {
--- a/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerExchange.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerExchange.kt
@@ -73,6 +73,11 @@
     /** Exchanges state with peers without waiting for the next round. */
     fun exchangeNow() = scope?.let(::exchangeRound)
 
+    /** Takes in which addresses to begin with when no peer is known. */
+    fun reseed(seeds: List<ProcessName>) {
+        table.seeds = seeds
+    }
+
     /** Answers a request of a peer. */
     fun handle(exchange: CallerExchange) {
         when (exchange.request.target) {
--- a/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
@@ -70,7 +70,7 @@
  * One event loop does all the work, so no state is shared between threads.
  */
 class Gateway(
-    private val settings: GatewaySettings,
+    private var settings: GatewaySettings,
     private val log: EventLog,
     private val headers: ForwardingHeaders,
     private val readinessPath: String,
@@ -115,8 +115,8 @@
             scope = scope,
             state = state,
             pool = serverPool,
-            access = AccessPolicy(settings.keyTrust),
-            rooms = RoomFinder(state, settings.sharedLimits),
+            access = { AccessPolicy(settings.keyTrust) },
+            rooms = RoomFinder(state, limits = { settings.sharedLimits }),
             headers = headers,
             metrics = metrics,
             startTime = settings.startTime,
@@ -159,6 +159,31 @@
         log.log("started", "process" to settings.process, "zone" to settings.zone, "callers" to settings.callerAddress)
     }
 
+    /**
+     * Puts [newer] into effect as far as a running process can: seeds, bounds and times. Addresses and the zone belong to
+     * the process, and the window of retries to what it has counted.
+     */
+    fun reload(newer: GatewaySettings) {
+        scope.launch {
+            val before = settings
+            settings =
+                before.copy(
+                    seeds = newer.seeds,
+                    keyTrust = newer.keyTrust,
+                    shutdownTime = newer.shutdownTime,
+                    sharedLimits = newer.sharedLimits.copy(retryWindow = before.sharedLimits.retryWindow),
+                )
+            peers.reseed(newer.seeds)
+            log.log(
+                "settings_reloaded",
+                "changed" to (settings != before),
+                "needs_restart" to (settings != newer),
+                "seeds" to newer.seeds.joinToString(","),
+                "key_trust_ms" to newer.keyTrust.inWholeMilliseconds,
+            )
+        }
+    }
+
     /** Stops gracefully: the process leaves the rotation, answers what it has, and [onEnd] is called. */
     fun stop(
         signal: String,
--- a/forward/src/test/kotlin/io/kumquattrail/forward/call/RoomFinderSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/call/RoomFinderSpec.kt
@@ -42,7 +42,7 @@
         describe("the repeats of twelve gateways while every server fails") {
             it("stay within the allowance of all when the gateways find each other after the first request") {
                 val states = List(GATEWAYS) { state(it) }
-                val rooms = states.map { RoomFinder(it, LIMITS) }
+                val rooms = states.map { RoomFinder(it, { LIMITS }) }
                 // The first request of a service, before any peer has answered.
                 val early = rooms.sumOf { finder -> if (finder.mayRepeat(SERVICE, now)) 1L else 0L }.toInt()
                 states.forEach { it.allowance.seen(GATEWAYS, now) }
@@ -50,7 +50,7 @@
             }
 
             it("stay within it when no gateway reaches another, as the settings name all of them") {
-                val rooms = List(GATEWAYS) { RoomFinder(state(it, leastProcesses = GATEWAYS), LIMITS) }
+                val rooms = List(GATEWAYS) { RoomFinder(state(it, leastProcesses = GATEWAYS), { LIMITS }) }
                 rooms.sumOf(::repeatsOf) shouldBeLessThanOrEqual RETRY_EXTRA.toInt()
             }
         }
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/FieldFaultsSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/FieldFaultsSpec.kt
@@ -266,7 +266,12 @@
                     val statuses =
                         (1..4).map {
                             callers.first().ask("/safe/x", "POST", body = "r$it", remaining = 4_000)
-                            callers.first().answer()!!.head.lines().first()
+                            callers
+                                .first()
+                                .answer()!!
+                                .head
+                                .lines()
+                                .first()
                         }
                     statuses.first() shouldContain "502"
                     statuses.drop(1).forEach { it shouldContain "200 OK" }
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/GatewayFixture.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/GatewayFixture.kt
@@ -107,22 +107,23 @@
     private val callerPort = LoopbackPorts.take()
     private val logged = ByteArrayOutputStream()
     private val metricsPort = LoopbackPorts.take()
+    private val settings =
+        GatewaySettings(
+            process = process,
+            zone = ZoneName("a"),
+            callerAddress = NetworkAddress("127.0.0.1", callerPort),
+            readinessAddress = NetworkAddress("127.0.0.1", LoopbackPorts.take()),
+            metricsPort = metricsPort,
+            seeds = seeds,
+            // Longer than any test, as the configuration is confirmed once only.
+            keyTrust = 60.seconds,
+            shutdownTime = 3.seconds,
+            startTime = startTime,
+            sharedLimits = SharedLimits(0.2, 92.0, 10.seconds, 1.5, 5.0),
+        )
     val gateway =
         Gateway(
-            settings =
-                GatewaySettings(
-                    process = process,
-                    zone = ZoneName("a"),
-                    callerAddress = NetworkAddress("127.0.0.1", callerPort),
-                    readinessAddress = NetworkAddress("127.0.0.1", LoopbackPorts.take()),
-                    metricsPort = metricsPort,
-                    seeds = seeds,
-                    // Longer than any test, as the configuration is confirmed once only.
-                    keyTrust = 60.seconds,
-                    shutdownTime = 3.seconds,
-                    startTime = startTime,
-                    sharedLimits = SharedLimits(0.2, 92.0, 10.seconds, 1.5, 5.0),
-                ),
+            settings = settings,
             log = EventLog(logged),
             headers = HEADERS,
             readinessPath = "/ready",
@@ -170,6 +171,13 @@
     /** Has the gateway take in that its servers or their groups have changed. */
     fun update(change: GatewayState.() -> Unit) = runBlocking(gateway.dispatcher) { gateway.state.change() }
 
+    /** Has the gateway take in settings that differ from those of its start. */
+    fun reload(change: (GatewaySettings) -> GatewaySettings) {
+        gateway.reload(change(settings))
+        // What follows on the event loop finds the settings in effect.
+        update {}
+    }
+
     /** @param receiveBytes size of the caller's buffer; `null` leaves it to the operating system. */
     fun connect(receiveBytes: Int? = null) =
         Socket().apply {
