Refuse prompts at once that fit into no server's memory

Servers refuse such a request as if they were full. It was tried on up to four of them, each counted as full for other requests for 40 ms, and its caller was told to return in half a second for the same. The published figures of the engine tell; the refusal has no time to return. GatewaySpec, failing before (one arrival with one server). FieldFaultsSpec also covers a server that answers before it has read a long body, which passed without a change.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/route/RoutingConfiguration.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/route/RoutingConfiguration.kt
@@ -126,7 +126,10 @@
     val usualPromptTokens: Int,
     val usualAnswerTokens: Int,
     val group: EngineGroupFigures? = null,
-)
+) {
+    /** Tells whether the engine can ever begin a request with [promptTokens]. */
+    fun holds(promptTokens: Long): Boolean = promptTokens <= memoryTokens
+}
 
 /**
  * Describes the expert placement of a group of engines.
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -94,7 +94,7 @@
             }
 
             is AccessDecision.Allowed -> {
-                forward(exchange, requestId, decision, configuration.version)
+                forward(exchange, requestId, decision, configuration)
             }
         }
     }
@@ -115,9 +115,15 @@
         exchange: CallerExchange,
         requestId: String?,
         allowed: AccessDecision.Allowed,
-        version: Long,
+        configuration: RoutingConfiguration,
     ) {
         val route = allowed.route
+        val service = chooseService(route)
+        val promptTokens = translation.promptTokens(exchange.request)
+        if (configuration.services[service]?.engine?.holds(promptTokens) == false) {
+            // No time to return, as it will not fit later either. A status of 4xx would say that the caller is at fault.
+            return refuse(exchange, requestId, 503, "larger_than_memory", null, "prompt_tokens" to promptTokens)
+        }
         val callerTime =
             exchange.request.headers
                 .get(headers.remainingTime)
@@ -129,10 +135,10 @@
                 exchange = exchange,
                 requestId = requestId,
                 route = route,
-                version = version,
+                version = configuration.version,
                 priority = allowed.organisation?.priority ?: route.priority,
                 organisation = allowed.organisation?.name?.value,
-                service = chooseService(route),
+                service = service,
                 deadline = deadline,
                 cursor =
                     EventStreamCursor(
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/ForwardingHeaders.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/ForwardingHeaders.kt
@@ -14,6 +14,7 @@
  * @property urgency rank of a request at a model engine; 0 is first.
  * @property authorisation carries the caller's key.
  * @property authorisationScheme word before the key.
+ * @property tokenCount tokens of a request's prompt and, after a comma, the most that it may generate.
  * @property faultyServer address of the server that made another one fail.
  */
 data class ForwardingHeaders(
@@ -28,4 +29,5 @@
     val authorisation: String,
     val authorisationScheme: String,
     val faultyServer: String,
+    val tokenCount: String,
 )
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/RequestTranslation.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/RequestTranslation.kt
@@ -32,6 +32,14 @@
         return HttpMessage(original.method, original.target, forwarded, original.body)
     }
 
+    /** Returns the number of tokens in the prompt of [request], or 0 when it does not say. */
+    fun promptTokens(request: HttpMessage): Long =
+        request.headers
+            .get(headers.tokenCount)
+            ?.substringBefore(',')
+            ?.trim()
+            ?.toLongOrNull() ?: 0
+
     /** Returns the key that the caller of [request] has sent, or `null`. */
     fun callerKey(request: HttpMessage): String? {
         val value = request.headers.get(headers.authorisation) ?: return null
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/FieldFaultsSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/FieldFaultsSpec.kt
@@ -1,8 +1,10 @@
 package io.kumquattrail.forward.process
 
+import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
@@ -10,12 +12,18 @@
 import io.kotest.matchers.string.shouldNotContain
 import io.netty.util.internal.PlatformDependent
 import java.lang.management.ManagementFactory
+import java.net.InetAddress
+import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.concurrent.thread
 import kotlin.time.Duration.Companion.seconds
 
 private const val MEBIBYTE = 1_048_576L
+
+/** More than the buffers of the sockets between hold, in bytes. */
+private const val LONG_BODY = 3_000_000
 private val JUNK = ByteArray(65_536) { 'x'.code.toByte() }
 
 /** Writes [bytes] again and again until the peer closes or [limit] bytes are out, and counts them in [written]. */
@@ -62,6 +70,24 @@
     return heap + maxOf(PlatformDependent.usedDirectMemory(), 0)
 }
 
+/** Answers long requests before their bodies are read, and adds what then comes in the place of each body to [bodies]. */
+private fun answerBeforeReading(
+    socket: Socket,
+    bodies: MutableList<String>,
+) {
+    val input = socket.getInputStream()
+    while (true) {
+        val length = bodyLength(readHead(input) ?: return)
+        val answer = "HTTP/1.1 200 OK\r\nRequest: r-1\r\nSignature: s1\r\nContent-Length: 2\r\n\r\nok"
+        if (length >= LONG_BODY) {
+            socket.send(answer)
+            Thread.sleep(300)
+        }
+        bodies += String(input.readNBytes(length))
+        if (length < LONG_BODY) socket.send(answer)
+    }
+}
+
 private fun ids(text: String): List<String> = Regex("id: (\\d+)").findAll(text).map { it.groupValues[1] }.toList()
 
 private fun longBodied(request: ReceivedRequest) =
@@ -243,6 +269,32 @@
             }
         }
 
+        describe("a server that answers before it has read a long body, and reads on later") {
+            // Bytes of the next request in the place of the body's rest would be run as a part of the first.
+            it("gets the rest of the body before anything else, and the next caller its own answer") {
+                val bodies = CopyOnWriteArrayList<String>()
+                ServerSocket(0, 50, InetAddress.getLoopbackAddress()).use { listener ->
+                    thread(isDaemon = true) {
+                        while (true) {
+                            val socket = runCatching { listener.accept() }.getOrNull() ?: break
+                            thread(isDaemon = true) { runCatching { answerBeforeReading(socket, bodies) } }
+                        }
+                    }
+                    GatewayFixture(servers = emptyList()).use { fixture ->
+                        fixture.serve(listOf(listener.localPort))
+                        fixture.connect().use {
+                            it.ask("/unsafe/x", "POST", body = "a".repeat(LONG_BODY))
+                            it.answer()!!.head shouldContain "200 OK"
+                            it.ask("/unsafe/x", "POST", body = "b".repeat(300))
+                            it.answer()!!.head shouldContain "200 OK"
+                        }
+                        eventually(2.seconds) { bodies shouldHaveSize 2 }
+                    }
+                }
+                bodies.map { it.toSet() } shouldContainExactlyInAnyOrder listOf(setOf('a'), setOf('b'))
+            }
+        }
+
         describe("connections that have gone silent without a reset, while new ones work") {
             // Each kept connection cost one request its time, one after the other.
             it("cost one request at most, and its caller learns that it may have run") {
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/GatewayFixture.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/GatewayFixture.kt
@@ -9,6 +9,7 @@
 import io.kumquattrail.decision.identity.ServiceName
 import io.kumquattrail.decision.identity.ZoneName
 import io.kumquattrail.decision.route.CallerLimits
+import io.kumquattrail.decision.route.EngineFigures
 import io.kumquattrail.decision.route.EngineGroupFigures
 import io.kumquattrail.decision.route.Organisation
 import io.kumquattrail.decision.route.Route
@@ -49,6 +50,7 @@
         authorisation = "Authorization",
         authorisationScheme = "Token",
         faultyServer = "Faulty",
+        tokenCount = "Tokens",
     )
 
 private fun route(
@@ -92,6 +94,7 @@
  * @param process address at which other gateways reach this one.
  * @param seeds addresses of other gateways.
  * @param callerLimits what callers may send.
+ * @param engine figures of the servers' model engine; `null` for plain servers.
  */
 internal class GatewayFixture(
     servers: List<ScriptedServer>,
@@ -103,6 +106,7 @@
     val process: ProcessName = ProcessName("127.0.0.1:${LoopbackPorts.take()}"),
     seeds: List<ProcessName> = emptyList(),
     private val callerLimits: CallerLimits = CallerLimits(),
+    private val engine: EngineFigures? = null,
 ) : AutoCloseable {
     private val callerPort = LoopbackPorts.take()
     private val logged = ByteArrayOutputStream()
@@ -145,6 +149,16 @@
         )
     }
 
+    /** Registers the servers that listen on [ports]. */
+    fun serve(ports: List<Int>) =
+        update { serversListed(ports.mapIndexed { index, port -> server(index, port) }, version = 2) }
+
+    private fun server(
+        index: Int,
+        port: Int,
+        slots: Int = 8,
+    ) = BackendServer(ServerName("s$index"), SERVICE, "127.0.0.1", port, ZoneName("a"), slots)
+
     private fun publish(
         servers: List<ScriptedServer>,
         timeout: Duration,
@@ -154,16 +168,14 @@
             RoutingConfiguration(
                 version = 1,
                 routes = persistentListOf<Route>().addAll(RouteKind.entries.map { route(it, timeout) }),
-                services = persistentMapOf(SERVICE to ServiceDefinition(SERVICE, "/health", 100)),
+                services = persistentMapOf(SERVICE to ServiceDefinition(SERVICE, "/health", 100, engine = engine)),
                 organisations = persistentMapOf("key" to Organisation(OrganisationName("hanbit"))),
                 callerLimits = callerLimits,
             ),
             source = "test",
         )
         gateway.state.serversListed(
-            servers.mapIndexed { index, server ->
-                BackendServer(ServerName("s$index"), SERVICE, "127.0.0.1", server.port, ZoneName("a"), slots)
-            },
+            servers.mapIndexed { index, server -> server(index, server.port, slots) },
             version = 1,
         )
     }
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/GatewaySpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/GatewaySpec.kt
@@ -1,12 +1,15 @@
 package io.kumquattrail.forward.process
 
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.collections.shouldNotBeEmpty
 import io.kotest.matchers.comparables.shouldBeLessThan
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.string.shouldNotContain
+import io.kumquattrail.decision.route.EngineFigures
 import io.kumquattrail.decision.route.Organisation
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -146,6 +149,37 @@
                 }
             }
 
+            // Servers refuse it as if they were full, so it was tried on up to four, and each counted as full for others.
+            it("with a prompt that fits into no server's memory is refused at once and sent to none") {
+                val server =
+                    ScriptedServer { request, socket ->
+                        socket.send(response(request, "", "503 Full", headers = "Not-Run: yes\r\n"))
+                        true
+                    }
+                val engine =
+                    EngineFigures(
+                        batchSlots = 8,
+                        memoryTokens = 1_000,
+                        stepTime = 5.milliseconds,
+                        stepTimePerRequest = 1.milliseconds,
+                        promptTokensPerSecond = 60_000.0,
+                        usualPromptTokens = 700,
+                        usualAnswerTokens = 80,
+                    )
+                GatewayFixture(listOf(server), engine = engine).use { fixture ->
+                    fixture.connect().use {
+                        it.ask("/streaming/x", "POST", headers = "Tokens: 1001,80\r\n")
+                        it.answer()!!.head shouldContain "503"
+                        server.received.shouldBeEmpty()
+                        it.ask("/streaming/x", "POST", headers = "Tokens: 1000,80\r\n")
+                        it.answer()
+                        server.received.shouldNotBeEmpty()
+                    }
+                    fixture.log() shouldContain "larger_than_memory"
+                }
+                server.close()
+            }
+
             it("that a broken group refuses is told to return when the group has formed anew, not at once") {
                 val broken =
                     ScriptedServer { request, socket ->
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/ScriptedServer.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/ScriptedServer.kt
@@ -69,21 +69,29 @@
 
 /** Reads one request, or returns `null` at the end of the connection. */
 fun readRequest(input: InputStream): ReceivedRequest? {
+    val head = readHead(input) ?: return null
+    return ReceivedRequest(head, String(input.readNBytes(bodyLength(head))))
+}
+
+/** Reads the head of a request or response, or returns `null` at the end of the connection. */
+fun readHead(input: InputStream): String? {
     val head = StringBuilder()
     while (!head.endsWith("\r\n\r\n")) {
         val byte = runCatching { input.read() }.getOrDefault(-1)
         if (byte < 0) return null
         head.append(byte.toChar())
     }
-    val length =
-        Regex("(?i)content-length: *(\\d+)")
-            .find(head)
-            ?.groupValues
-            ?.get(1)
-            ?.toInt() ?: 0
-    return ReceivedRequest(head.toString(), String(input.readNBytes(length)))
+    return head.toString()
 }
 
+/** Bytes of the body that follows [head]. */
+fun bodyLength(head: String): Int =
+    Regex("(?i)content-length: *(\\d+)")
+        .find(head)
+        ?.groupValues
+        ?.get(1)
+        ?.toInt() ?: 0
+
 fun Socket.send(text: String) {
     getOutputStream().write(text.toByteArray())
     getOutputStream().flush()
