--- a/decision/src/main/kotlin/io/kumquattrail/decision/suspect/RequestFingerprint.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/suspect/RequestFingerprint.kt
@@ -12,7 +12,9 @@
 
     companion object {
         // 64 bits: among a million remembered requests, two share a fingerprint with a chance of 3 in 100 million.
-        private const val BYTES = 8
+        private const val DIGITS = 16
+
+        private const val SEPARATOR: Byte = 0
 
         /** Returns the fingerprint of a request of [organisation]; `null` where callers need no key. */
         fun of(
@@ -20,12 +22,20 @@
             method: String,
             target: String,
             body: ByteArray,
-        ): RequestFingerprint {
+        ): RequestFingerprint =
+            RequestFingerprint(digest(listOf(organisation.orEmpty(), method, target), body).take(DIGITS))
+
+        /** Returns the SHA-256 digest of [parts], none of which contains a zero byte, and [body], in hexadecimal. */
+        fun digest(
+            parts: List<String>,
+            body: ByteArray,
+        ): String {
             val digest = MessageDigest.getInstance("SHA-256")
-            // A line break is no part of any of these, so no two different requests are joined to the same bytes.
-            digest.update("${organisation.orEmpty()}\n$method\n$target\n".toByteArray())
-            val hash = digest.digest(body)
-            return RequestFingerprint(HexFormat.of().formatHex(hash, 0, BYTES))
+            parts.forEach {
+                digest.update(it.toByteArray())
+                digest.update(SEPARATOR)
+            }
+            return HexFormat.of().formatHex(digest.digest(body))
         }
     }
 }
--- a/decision/src/test/kotlin/io/kumquattrail/decision/suspect/FatalRequestLedgerSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/suspect/FatalRequestLedgerSpec.kt
@@ -27,6 +27,13 @@
     sentBefore: Duration = 20.milliseconds,
 ) = ends.forEach { inProgressAt(end(it), fingerprint, sentBefore, START) }
 
+/** A ledger in which another request was in progress at each end under the fatal one, sent before it. */
+private fun cutTogether() =
+    FatalRequestLedger().also {
+        it.charge(1, 2, 3)
+        it.charge(1, 2, 3, fingerprint = LETTER, sentBefore = 300.milliseconds)
+    }
+
 class FatalRequestLedgerSpec :
     DescribeSpec({
         describe("a request in progress at the ends of servers") {
@@ -60,9 +67,7 @@
             }
 
             it("is not refused when it was cut beside a fatal one each time, which waits until it has completed") {
-                val ledger = FatalRequestLedger()
-                ledger.charge(1, 2, 3)
-                ledger.charge(1, 2, 3, fingerprint = LETTER, sentBefore = 300.milliseconds)
+                val ledger = cutTogether()
                 val now = START + 1.seconds
                 ledger.judge(LETTER, now) shouldBe Suspicion.Suspect(ends = 3)
                 ledger.judge(FATAL, now) shouldBe Suspicion.Deferred(ends = 3, remaining = 2.seconds)
@@ -71,9 +76,7 @@
             }
 
             it("keeps the fatal one waiting for some seconds only when its own caller has left") {
-                val ledger = FatalRequestLedger()
-                ledger.charge(1, 2, 3)
-                ledger.charge(1, 2, 3, fingerprint = LETTER, sentBefore = 300.milliseconds)
+                val ledger = cutTogether()
                 val now = START + 3.seconds
                 ledger.judge(FATAL, now) shouldBe Suspicion.Suspect(ends = 3)
                 ledger.charge(4)
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -10,6 +10,7 @@
 import io.kumquattrail.decision.route.Route
 import io.kumquattrail.decision.route.RouteKind
 import io.kumquattrail.decision.route.RoutingConfiguration
+import io.kumquattrail.decision.suspect.FatalRequestLimits
 import io.kumquattrail.decision.suspect.Suspicion
 import io.kumquattrail.decision.time.MonotonicTime
 import io.kumquattrail.forward.http.CallerExchange
@@ -264,11 +265,8 @@
         val body = attempt.readBody {} ?: return AttemptOutcome.broken("broken failure ${response.status}")
         val reply = HttpReply(response.status, response.headers.endToEnd(), body)
         // These statuses promise callers that nothing ran, which this server has not said.
-        if (response.status in
-            UNPROVED_STATUSES
-        ) {
-            return AttemptOutcome.broken("status ${response.status} without proof")
-        }
+        val isUnproved = response.status in UNPROVED_STATUSES
+        if (isUnproved) return AttemptOutcome.broken("status ${response.status} without proof")
         if (response.status < SERVER_ERRORS) {
             if (call.exchange.isStarted) return AttemptOutcome.broken("status ${response.status} to a resumed stream")
             call.exchange.respond(reply)
@@ -479,7 +477,7 @@
         val STOPPING_RETRY = 50.milliseconds
 
         /** Deferral of a suspect that its caller waits for: the time in which gateways tell each other of an end. */
-        val SHORT_DEFERRAL = 300.milliseconds
+        val SHORT_DEFERRAL = FatalRequestLimits().settling
 
         /** Interval at which a request of that time looks whether the start is complete; short against its target. */
         val START_POLL = 5.milliseconds
--- a/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerExchange.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerExchange.kt
@@ -14,6 +14,7 @@
 import io.kumquattrail.forward.process.GatewayState
 import io.kumquattrail.forward.process.ProcessClock
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.joinAll
@@ -41,7 +42,6 @@
     private val random: Random = Random.Default,
 ) {
     private val mapKeepers = HashMap<ProcessName, MapKeeperCandidate>()
-    private var scope: CoroutineScope? = null
     private val table = PeerTable(own = state.process, seeds = seeds, interval = INTERVAL)
 
     /** The document of the configuration in effect, as published; `null` until one is known. */
@@ -55,9 +55,8 @@
 
     /** Exchanges state with peers until [scope] ends. */
     fun start(scope: CoroutineScope) {
-        this.scope = scope
         scope.launch {
-            val asked = table.partners(ProcessClock.monotonic(), random).map { launch { exchangeWith(it) } }
+            val asked = exchangeRound(scope)
             withTimeoutOrNull(FIRST_ROUND) { asked.joinAll() }
             state.peersAsked = true
             while (isActive) {
@@ -67,11 +66,9 @@
         }
     }
 
-    private fun exchangeRound(scope: CoroutineScope) =
-        table.partners(ProcessClock.monotonic(), random).forEach { peer -> scope.launch { exchangeWith(peer) } }
-
-    /** Exchanges state with peers without waiting for the next round. */
-    fun exchangeNow() = scope?.let(::exchangeRound)
+    /** Begins to exchange state with the peers of one round, also between the rounds that [start] makes. */
+    fun exchangeRound(scope: CoroutineScope): List<Job> =
+        table.partners(ProcessClock.monotonic(), random).map { peer -> scope.launch { exchangeWith(peer) } }
 
     /** Takes in which addresses to begin with when no peer is known. */
     fun reseed(seeds: List<ProcessName>) {
--- a/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
@@ -120,7 +120,7 @@
             headers = headers,
             metrics = metrics,
             startTime = settings.startTime,
-            onRepeatedEnd = { peers.exchangeNow() },
+            onRepeatedEnd = { peers.exchangeRound(scope) },
             onPause = { server, pause, now -> groupKeeper?.paused(server, pause, now) },
         )
     private var groupKeeper: GroupKeeper? = null
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/FatalRequestSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/FatalRequestSpec.kt
@@ -106,14 +106,8 @@
             val sentAt = TimeSource.Monotonic.markNow()
             val first = send(fixtures[number % fixtures.size], body, "$caller-$number")
             number += 1
-            val status =
-                if (OK in
-                    first
-                ) {
-                    first
-                } else {
-                    send(fixtures[number % fixtures.size], body, "$caller-$number-again")
-                }
+            val isWhole = OK in first
+            val status = if (isWhole) first else send(fixtures[number % fixtures.size], body, "$caller-$number-again")
             ordinary += OrdinaryRequest(sentAt, body, status)
             Thread.sleep(CALLER_PAUSE.inWholeMilliseconds)
         }
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/GatewayReloadSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/GatewayReloadSpec.kt
@@ -7,12 +7,6 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-private fun echo() =
-    ScriptedServer { request, socket ->
-        socket.send(response(request, request.body))
-        true
-    }
-
 class GatewayReloadSpec :
     DescribeSpec({
         describe("settings that change while a gateway runs") {
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/GatewayStartSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/GatewayStartSpec.kt
@@ -8,12 +8,6 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.measureTimedValue
 
-private fun echo() =
-    ScriptedServer { request, socket ->
-        socket.send(response(request, request.body))
-        true
-    }
-
 class GatewayStartSpec :
     DescribeSpec({
         describe("a caller that connects to a gateway in the first moment after its start") {
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/ScriptedServer.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/ScriptedServer.kt
@@ -67,6 +67,13 @@
     }
 }
 
+/** A server that answers each request with its body. */
+fun echo() =
+    ScriptedServer { request, socket ->
+        socket.send(response(request, request.body))
+        true
+    }
+
 /** Reads one request, or returns `null` at the end of the connection. */
 fun readRequest(input: InputStream): ReceivedRequest? {
     val head = readHead(input) ?: return null
--- a/gateway/src/main/kotlin/io/kumquattrail/gateway/request/ClassifiedRequest.kt
+++ b/gateway/src/main/kotlin/io/kumquattrail/gateway/request/ClassifiedRequest.kt
@@ -2,7 +2,7 @@
 
 import io.kumquattrail.decision.delivery.KeyedCall
 import io.kumquattrail.decision.delivery.WorkKind
-import java.security.MessageDigest
+import io.kumquattrail.decision.suspect.RequestFingerprint
 
 /** Holds a request together with how often it may be sent. */
 class ClassifiedRequest(
@@ -15,16 +15,10 @@
      * key never returns the answer of another organisation.
      */
     val fingerprint: String by lazy {
-        val digest = MessageDigest.getInstance("SHA-256")
         val request = identified.request
-        listOf(identified.organisation.name.value, request.service.value, request.method, request.path).forEach {
-            digest.update(it.toByteArray())
-            digest.update(SEPARATOR)
-        }
-        digest.digest(request.body).joinToString("") { "%02x".format(it) }
-    }
-
-    private companion object {
-        const val SEPARATOR: Byte = 0
+        RequestFingerprint.digest(
+            parts = listOf(identified.organisation.name.value, request.service.value, request.method, request.path),
+            body = request.body,
+        )
     }
 }
