--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/Call.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/Call.kt
@@ -5,6 +5,7 @@
 import io.kumquattrail.decision.identity.ServerName
 import io.kumquattrail.decision.identity.ServiceName
 import io.kumquattrail.decision.route.Route
+import io.kumquattrail.decision.suspect.PromptPart
 import io.kumquattrail.decision.suspect.RequestFingerprint
 import io.kumquattrail.decision.time.MonotonicTime
 import io.kumquattrail.forward.http.CallerExchange
@@ -15,6 +16,7 @@
  * A request that is being forwarded.
  *
  * @property configurationVersion version of the configuration under which the request was allowed.
+ * @param readPromptParts returns the parts of the prompt that other requests may share.
  * @property deadline time after which the request is abandoned, by the caller's own limit or the route's timeout.
  */
 class Call(
@@ -27,7 +29,11 @@
     val service: ServiceName,
     val deadline: MonotonicTime,
     val cursor: EventStreamCursor,
+    readPromptParts: () -> List<PromptPart> = { emptyList() },
 ) {
+    /** Parts of the prompt that other requests may share. */
+    val sharedPromptParts: List<PromptPart> by lazy(LazyThreadSafetyMode.NONE, readPromptParts)
+
     /** Identifies the request at all gateways; it stays the same when the caller sends the request again. */
     val fingerprint: RequestFingerprint by lazy {
         val request = exchange.request
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -149,6 +149,7 @@
                             .get(headers.lastEvent)
                             ?.toLongOrNull(),
                     ),
+                readPromptParts = { translation.sharedPromptParts(exchange.request) },
             )
         val finished =
             withTimeoutOrNull(deadline - ProcessClock.monotonic()) {
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/FatalRequestGuard.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/FatalRequestGuard.kt
@@ -74,6 +74,8 @@
             "server" to server.name,
             "sent_before_ms" to timeSinceSent.inWholeMilliseconds,
             "ends" to crashes,
+            "events" to call.cursor.delivered,
+            "parts" to call.sharedPromptParts.take(MAXIMUM_LOGGED_PARTS).joinToString(","),
         )
         if (crashes > 1) onRepeatedCrash()
     }
@@ -106,6 +108,9 @@
     }
 
     private companion object {
+        /** Bounds the length of a log line; callers choose the number of parts. */
+        const val MAXIMUM_LOGGED_PARTS = 16
+
         /** Time within which a crashing process has closed its listener; shorter than a restart. */
         val SECOND_CHECK_DELAY = 200.milliseconds
     }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/ForwardingHeaders.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/ForwardingHeaders.kt
@@ -15,6 +15,8 @@
  * @property authorisation carries the caller's key.
  * @property authorisationScheme authentication scheme that precedes the key.
  * @property tokenCount number of tokens in a request's prompt and, after a comma, the maximum that it may generate.
+ * @property promptParts parts of a request's prompt in order, as comma-separated `ID:TOKENS` entries. Requests share parts;
+ *   the last one belongs to the request or its session.
  * @property faultyServer address of the server whose failure made another one refuse the request.
  */
 data class ForwardingHeaders(
@@ -30,4 +32,5 @@
     val authorisationScheme: String,
     val faultyServer: String,
     val tokenCount: String,
+    val promptParts: String,
 )
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/RequestTranslation.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/RequestTranslation.kt
@@ -2,6 +2,7 @@
 
 import io.kumquattrail.decision.catalogue.BackendServer
 import io.kumquattrail.decision.route.RouteKind
+import io.kumquattrail.decision.suspect.PromptPart
 import io.kumquattrail.decision.time.MonotonicTime
 import io.kumquattrail.forward.http.HttpMessage
 import io.kumquattrail.forward.http.endToEnd
@@ -42,6 +43,20 @@
             ?.trim()
             ?.toLongOrNull() ?: 0
 
+    /**
+     * Returns the parts of the prompt of [request] that other requests may share, without repetitions.
+     *
+     * The last part belongs to the request alone. Entries without an id are ignored. Without a readable header the
+     * result is empty.
+     */
+    fun sharedPromptParts(request: HttpMessage): List<PromptPart> =
+        request.headers
+            .getAll(headers.promptParts)
+            .flatMap { it.split(',') }
+            .mapNotNull { PromptPart.of(id = it.substringBefore(':')) }
+            .dropLast(1)
+            .distinct()
+
     /** Returns the key that the caller of [request] has sent, or `null`. */
     fun callerKey(request: HttpMessage): String? {
         val value = request.headers.get(headers.authorisation) ?: return null
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/GatewayFixture.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/GatewayFixture.kt
@@ -51,6 +51,7 @@
         authorisationScheme = "Token",
         faultyServer = "Faulty",
         tokenCount = "Tokens",
+        promptParts = "Prompt-Parts",
     )
 
 private fun route(
