--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/RestartingServers.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/RestartingServers.kt
@@ -19,21 +19,32 @@
 /** Body of a request that crashes each server that starts to execute it. */
 internal const val FATAL_BODY = "fatal"
 
+/** Prefix of the prompt parts that crash each server that starts to execute a request with one of them. */
+internal const val FATAL_PART = "dead"
+
+/** Prompt part that all callers share. */
+internal const val SHARED_PART = "5a"
+
 /** Prefix of the body of a streaming request whose server crashes, for another reason, in the middle of the stream. */
 internal const val CRASHING_STREAM_BODY = "ending"
 
 /** Prefix of the body of a request that has a long execution time. */
 internal const val SLOW_BODY = "slow"
 
-/** Arrival of a request at a server, or the crash of a server. */
+/**
+ * Arrival of a request at a server, or the crash of a server.
+ *
+ * @property cause fatal prompt part of the request; `null` if it has none.
+ */
 internal data class ServerEvent(
     val at: TimeSource.Monotonic.ValueTimeMark,
     val server: String,
+    val cause: String? = null,
 )
 
 /**
- * Backend servers on loopback that crash when they start to execute a request with [FATAL_BODY], and restart at the
- * same address under another name.
+ * Backend servers on loopback that crash when they start to execute a request with [FATAL_BODY] or a [FATAL_PART], and
+ * restart at the same address under another name.
  *
  * @property groupSize number of servers that work in lockstep: a crash of one stalls the others, which then abort their
  *   requests and refuse new ones until all members are back; 1 for servers that don't form groups.
@@ -48,7 +59,7 @@
     private val servers = List(count) { RestartingServer(it) }
     private val lockstepGroups = servers.chunked(groupSize)
 
-    /** Arrivals of the fatal request. */
+    /** Arrivals of fatal requests. */
     val fatalArrivals = CopyOnWriteArrayList<ServerEvent>()
 
     /** Crashes of servers. */
@@ -67,12 +78,18 @@
 
     override fun close() = servers.forEach { it.close() }
 
+    /** Crashes the servers that have received a request with [body] and not answered it. */
+    fun crashServersRunning(body: String) = servers.filter { body in it.running }.forEach { it.crashNow() }
+
     private inner class RestartingServer(
         val index: Int,
     ) : AutoCloseable {
         private val port = LoopbackPorts.take()
         private val sockets = ConcurrentHashMap.newKeySet<Socket>()
         private var starts = 0
+
+        /** Bodies of the requests in progress. */
+        val running: MutableSet<String> = ConcurrentHashMap.newKeySet()
         private var listener: ServerSocket? = null
 
         @Volatile private var closed = false
@@ -103,10 +120,13 @@
 
         /** Fails as a killed process does: every connection is reset, and the port is closed until the restart. */
         @Synchronized
-        private fun crash(incarnationListener: ServerSocket) {
+        private fun crash(
+            incarnationListener: ServerSocket,
+            cause: String? = null,
+        ) {
             if (listener !== incarnationListener) return
             crashedAt = TimeSource.Monotonic.markNow()
-            crashes += ServerEvent(TimeSource.Monotonic.markNow(), name)
+            crashes += ServerEvent(TimeSource.Monotonic.markNow(), name, cause)
             listener = null
             incarnationListener.close()
             sockets.forEach { socket ->
@@ -121,6 +141,8 @@
             }
         }
 
+        fun crashNow() = listener?.let { crash(it) }
+
         @Synchronized
         override fun close() {
             closed = true
@@ -136,7 +158,10 @@
             runCatching {
                 do {
                     val request = readMessage(socket.getInputStream()) ?: return
-                } while (handle(request, socket, incarnationListener))
+                    running += request.body
+                    val keepOpen = handle(request, socket, incarnationListener)
+                    running -= request.body
+                } while (keepOpen)
             }
         }
 
@@ -149,7 +174,9 @@
                 socket.send(response(request, "", "421 Misdirected", headers = "Not-Run: yes\r\n"))
                 return true
             }
-            if (request.body == FATAL_BODY) fatalArrivals += ServerEvent(TimeSource.Monotonic.markNow(), name)
+            val fatalPart = fatalPart(request)
+            val isFatal = request.body == FATAL_BODY || fatalPart != null
+            if (isFatal) fatalArrivals += ServerEvent(TimeSource.Monotonic.markNow(), name, fatalPart)
             val failed = failedMember()
             if (failed != null) {
                 awaitEndOfStall(failed)
@@ -158,9 +185,9 @@
                 )
                 return true
             }
-            if (request.body == FATAL_BODY) {
+            if (isFatal) {
                 Thread.sleep(CRASH_DELAY.inWholeMilliseconds)
-                crash(incarnationListener)
+                crash(incarnationListener, cause = fatalPart)
                 return false
             }
             if (request.body.startsWith(CRASHING_STREAM_BODY)) {
@@ -182,6 +209,13 @@
             return true
         }
 
+        private fun fatalPart(request: ReceivedMessage): String? =
+            request
+                .header("Prompt-Parts")
+                ?.split(',')
+                ?.map { it.substringBefore(':') }
+                ?.firstOrNull { it.startsWith(FATAL_PART) }
+
         private fun failedMember(): RestartingServer? =
             lockstepGroups[index / groupSize].firstOrNull { it !== this && it.crashedAt != null }
 
