Count crashes of servers against the parts of prompts

The cause: crashes were counted per whole request, and no two of these requests are alike, so every crash was the first one.

CrashLedger, before FatalRequestLedger, now counts crashes against any kind of suspect, and a second instance holds prompt parts. All parts, except the last, of the requests that wait for an answer at a crash are suspected, unless an answer in progress at any gateway has them. PromptPartTrials lets one request with a suspected part run at a time, on a server that is the same for all gateways; an answer clears its parts. After two crashes a part is refused, and requests that wait with it elsewhere are withdrawn. It is tried once more after 30 s, in case it was in progress by chance. A gateway that starts or meets a peer again asks it for all of its suspects.

While nothing is suspected, a request only enters and leaves the set of calls in progress; its prompt header is not read.

--- a/decision/src/test/kotlin/io/kumquattrail/decision/suspect/FatalRequestLedgerSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/suspect/CrashLedgerSpec.kt
@@ -21,7 +21,7 @@
 
 private fun serverCrash(number: Int) = ServerCrash(ServerName("s$number"))
 
-private fun FatalRequestLedger.recordCrashes(
+private fun CrashLedger<RequestFingerprint>.recordCrashes(
     vararg crashes: Int,
     fingerprint: RequestFingerprint = FATAL,
     timeSinceSent: Duration = 20.milliseconds,
@@ -29,16 +29,16 @@
 
 /** Returns a ledger in which a second request, sent before the fatal one, was in progress at each of its crashes. */
 private fun tiedLedger() =
-    FatalRequestLedger().also {
+    CrashLedger<RequestFingerprint>().also {
         it.recordCrashes(1, 2, 3)
         it.recordCrashes(1, 2, 3, fingerprint = HARMLESS, timeSinceSent = 300.milliseconds)
     }
 
-class FatalRequestLedgerSpec :
+class CrashLedgerSpec :
     DescribeSpec({
         describe("a request in progress at crashes of servers") {
             it("refuses a request in progress at three crashes after the settling time, and for an hour") {
-                val ledger = FatalRequestLedger()
+                val ledger = CrashLedger<RequestFingerprint>()
                 ledger.recordCrashes(1, 2)
                 ledger.classify(FATAL, START) shouldBe Suspicion.Suspect(crashes = 2)
                 ledger.recordCrashes(3)
@@ -49,7 +49,7 @@
 
             // Both a retry and the same request of a second caller can be in progress at one crash.
             it("counts each crash of a server once, and a crash of its next incarnation separately") {
-                val ledger = FatalRequestLedger()
+                val ledger = CrashLedger<RequestFingerprint>()
                 repeat(3) { ledger.recordCrashes(1) }
                 ledger.classify(FATAL, START) shouldBe Suspicion.Suspect(crashes = 1)
                 ledger.recordCrash(ServerCrash(ServerName("s1"), incarnation = 5), FATAL, 20.milliseconds, START)
@@ -59,7 +59,7 @@
 
         describe("a harmless request in progress at crashes by chance") {
             it("clears a request that completes, and counts only later crashes against it") {
-                val ledger = FatalRequestLedger()
+                val ledger = CrashLedger<RequestFingerprint>()
                 ledger.recordCrashes(1, 2)
                 ledger.recordCompletion(FATAL, START) shouldBe setOf(serverCrash(1), serverCrash(2))
                 ledger.recordCrashes(1, 2, 3)
@@ -84,7 +84,7 @@
             }
 
             it("does not refuse a harmless request when two fatal requests together account for its crashes") {
-                val ledger = FatalRequestLedger()
+                val ledger = CrashLedger<RequestFingerprint>()
                 val other = RequestFingerprint("other")
                 ledger.recordCrashes(1, 2, 5)
                 ledger.recordCrashes(3, 6, 7, fingerprint = other)
@@ -97,10 +97,11 @@
         }
 
         describe("reports between processes") {
-            fun FatalRequestLedger.reportTo(other: FatalRequestLedger) = other.merge(reports(START, limit = 32), START)
+            fun CrashLedger<RequestFingerprint>.reportTo(other: CrashLedger<RequestFingerprint>) =
+                other.merge(reports(START, limit = 32), START)
 
             it("merges crashes that single processes detected, whatever the order and number of messages") {
-                val ledgers = List(3) { FatalRequestLedger() }
+                val ledgers = List(3) { CrashLedger<RequestFingerprint>() }
                 ledgers.forEachIndexed { index, ledger -> ledger.recordCrashes(index) }
                 repeat(2) { ledgers.forEach { from -> ledgers.forEach { from.reportTo(it) } } }
                 ledgers.forEach {
@@ -109,17 +110,17 @@
             }
 
             it("informs a process that starts later of a fatal request") {
-                val ledger = FatalRequestLedger()
+                val ledger = CrashLedger<RequestFingerprint>()
                 ledger.recordCrashes(1, 2, 3)
-                val later = FatalRequestLedger()
+                val later = CrashLedger<RequestFingerprint>()
                 later.merge(ledger.reports(START + 40.minutes, limit = 32), START)
                 later.classify(FATAL, START) shouldBe Suspicion.Fatal(crashes = 3, remaining = 20.minutes)
             }
 
             it("clears a request in every process, and ignores an older report that arrives afterwards") {
-                val ledger = FatalRequestLedger()
+                val ledger = CrashLedger<RequestFingerprint>()
                 ledger.recordCrashes(1, 2, 3)
-                val other = FatalRequestLedger()
+                val other = CrashLedger<RequestFingerprint>()
                 ledger.reportTo(other)
                 val older = ledger.reports(START, limit = 32)
                 ledger.recordCompletion(FATAL, START)
@@ -129,18 +130,19 @@
             }
 
             it("reports requests with the most crashes first, and those with a single crash for 30 seconds only") {
-                val ledger = FatalRequestLedger()
+                val ledger = CrashLedger<RequestFingerprint>()
                 ledger.recordCrashes(1, fingerprint = HARMLESS)
                 ledger.recordCrashes(1, 2)
-                ledger.reports(START, limit = 1).map { it.fingerprint } shouldContainExactly listOf(FATAL)
-                ledger.reports(START + 31.seconds, limit = 9).map { it.fingerprint } shouldContainExactly listOf(FATAL)
+                ledger.reports(START, limit = 1).map { it.suspect } shouldContainExactly listOf(FATAL)
+                ledger.reports(START + 31.seconds, limit = 9).map { it.suspect } shouldContainExactly listOf(FATAL)
                 ledger.reports(START + 1.hours, limit = 9).shouldBeEmpty()
             }
         }
 
         describe("a full ledger") {
             it("keeps a full ledger within its bounds and evicts harmless requests first") {
-                val ledger = FatalRequestLedger(FatalRequestLimits(maximumRequests = 10, maximumCrashes = 4))
+                val ledger =
+                    CrashLedger<RequestFingerprint>(CrashLedgerLimits(maximumSuspects = 10, maximumCrashes = 4))
                 ledger.recordCrashes(*IntArray(9) { it })
                 repeat(50) { ledger.recordCrashes(1, fingerprint = RequestFingerprint("letter-$it")) }
                 val reports = ledger.reports(START, limit = 99)
--- a/decision/src/test/kotlin/io/kumquattrail/decision/suspect/FatalRequestSimulation.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/suspect/FatalRequestSimulation.kt
@@ -142,7 +142,7 @@
 
     private class Gateway {
         val loads = LoadTable()
-        val ledger = FatalRequestLedger()
+        val ledger = CrashLedger<RequestFingerprint>()
         val placement = EvenPlacement(loads, ZoneName("a"))
     }
 
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/Call.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/Call.kt
@@ -46,6 +46,9 @@
     /** Time at which the request was last sent to a server. */
     var lastSentAt: MonotonicTime = exchange.arrived
 
+    /** Whether the request has been counted in the retry budget of its service. */
+    var isCountedAsFresh = false
+
     /** Number of times that the request was sent to a server. */
     var sendCount = 0
 
@@ -64,6 +67,12 @@
     /** Time of the last event of the stream; `null` before the first. */
     var lastEventAt: MonotonicTime? = null
 
+    /** Attempt in progress; `null` between attempts. */
+    var attempt: ServerAttempt? = null
+
+    /** Whether a server has begun to answer the request, in any attempt. */
+    var hasAnswerBegun = false
+
     /** Longest pause between two events of the stream so far. */
     var longestPause: Duration = Duration.ZERO
 
@@ -123,6 +132,9 @@
         val mayHaveCrashedServer: Boolean = false,
     ) : AttemptOutcome
 
+    /** Whether the request has not reached the server. */
+    val isNotSent: Boolean get() = this is Failed && kind == FailureKind.NOT_SENT
+
     companion object {
         /**
          * Returns the outcome for a response that broke off or is unusable because of [reason]; the request may have
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -10,7 +10,8 @@
 import io.kumquattrail.decision.route.Route
 import io.kumquattrail.decision.route.RouteKind
 import io.kumquattrail.decision.route.RoutingConfiguration
-import io.kumquattrail.decision.suspect.FatalRequestLimits
+import io.kumquattrail.decision.suspect.CrashLedgerLimits
+import io.kumquattrail.decision.suspect.PromptPartDecision
 import io.kumquattrail.decision.suspect.Suspicion
 import io.kumquattrail.decision.time.MonotonicTime
 import io.kumquattrail.forward.http.CallerExchange
@@ -42,7 +43,7 @@
     private val metrics: ForwardingMetrics,
     private val startTime: Duration,
     onPause: (ServerName, Duration, MonotonicTime) -> Unit,
-    onRepeatedCrash: () -> Unit,
+    onNewEvidence: () -> Unit,
     private val random: Random = Random.Default,
 ) : CallerRequestHandler {
     private val translation = RequestTranslation(headers)
@@ -54,10 +55,11 @@
             slotFinder = slotFinder,
             pauses = pauses,
             maximumEventBytes = pool.limits.eventBytes,
-            onFirstByte = ::recordFirstByte,
+            onFirstByte = ::onAnswerBegun,
         )
 
-    private val fatalRequests = FatalRequestGuard(scope, state, pool, metrics, onRepeatedCrash)
+    private val promptParts = PromptPartGuard(state)
+    private val fatalRequests = FatalRequestGuard(scope, state, pool, metrics, promptParts, onNewEvidence)
 
     override suspend fun handle(exchange: CallerExchange) {
         val request = exchange.request
@@ -151,10 +153,15 @@
                     ),
                 readPromptParts = { translation.sharedPromptParts(exchange.request) },
             )
+        promptParts.onStart(call)
         val finished =
-            withTimeoutOrNull(deadline - ProcessClock.monotonic()) {
-                runAttempts(call)
-                true
+            try {
+                withTimeoutOrNull(deadline - ProcessClock.monotonic()) {
+                    runAttempts(call)
+                    true
+                }
+            } finally {
+                promptParts.onEnd(call)
             }
         if (finished == null) endAtDeadline(call)
         metrics.waitingTime.labelValues(route.kind.name).observe(call.waited.inWholeMilliseconds / 1_000.0)
@@ -164,15 +171,20 @@
         pauses.delayPrompt(call)
         while (true) {
             if (!mayRun(call)) return
+            val wasOnTrial = promptParts.isOnTrial(call)
             val choice = slotFinder.select(call, random)
             when (choice) {
                 is SlotChoice.Refused -> return refuseCall(call, choice)
                 is SlotChoice.Selected -> Unit
             }
-            // While this request waited, a copy of it sent by another gateway may have crashed a server.
+            // While this request waited, one like it, sent by another gateway, may have crashed a server.
             if (!mayRun(call)) return
+            // A trial may need another server than the one selected before.
+            if (promptParts.isOnTrial(call) != wasOnTrial) continue
             val outcome = runAttempt(call, choice.server)
             logAttempt(call, choice.server, outcome)
+            val trialServerIsGone = promptParts.isOnTrial(call) && outcome.isNotSent
+            promptParts.endTrial(call)
             when (outcome) {
                 is AttemptOutcome.Finished -> {
                     return fatalRequests.onCompleted(call)
@@ -183,6 +195,8 @@
                     if (outcome.mayHaveCrashedServer) fatalRequests.onConnectionLost(call, choice.server)
                     if (outcome.kind == FailureKind.RAN) fatalRequests.onCompleted(call)
                     if (!mayRetry(call, outcome)) return fail(call, outcome)
+                    // The server that all gateways use for trials of this part may have crashed in one of them.
+                    if (trialServerIsGone) delay(SHORT_DEFERRAL)
                 }
             }
         }
@@ -198,6 +212,7 @@
         call.triedServers += server.name
         slotFinder.recordSent(server, call, now)
         val attempt = ServerAttempt(server = server, pool = pool, headers = headers)
+        call.attempt = attempt
         try {
             val started =
                 attempt.start(
@@ -231,6 +246,7 @@
                 if (it is AttemptOutcome.Failed) it.copy(mayHaveCrashedServer = attempt.mayHaveCrashedServer) else it
             }.also { slotFinder.recordOutcome(server, it) }
         } finally {
+            call.attempt = null
             attempt.close()
             slotFinder.recordEnd(server, call)
         }
@@ -256,7 +272,7 @@
         var reason = ""
         val body = attempt.readBody { reason = it } ?: return AttemptOutcome.broken(reason)
         call.exchange.respond(HttpReply(response.status, response.headers.endToEnd(), body))
-        recordFirstByte(call)
+        onAnswerBegun(call)
         return AttemptOutcome.Finished(response.status)
     }
 
@@ -352,13 +368,42 @@
             suspicion = fatalRequests.judge(call)
         }
         when (suspicion) {
-            Suspicion.None, is Suspicion.Suspect -> return true
+            Suspicion.None, is Suspicion.Suspect -> return mayRunWithParts(call)
             is Suspicion.Deferred -> refuseSuspect(call, "may_end_servers", suspicion.remaining)
             is Suspicion.Fatal -> refuseSuspect(call, "ends_servers", suspicion.remaining)
         }
         return false
     }
 
+    /** Does the same as [mayRun] for the parts of the call's prompt. */
+    private suspend fun mayRunWithParts(call: Call): Boolean {
+        val waitStart = ProcessClock.monotonic()
+        while (true) {
+            when (val decision = promptParts.decide(call)) {
+                PromptPartDecision.Run, is PromptPartDecision.Try -> {
+                    return true
+                }
+
+                PromptPartDecision.Wait -> {
+                    if (ProcessClock.monotonic() - waitStart > call.route.latencyTarget) {
+                        refuseSuspect(call, "part_on_trial", TRIAL_BACKOFF)
+                        return false
+                    }
+                    delay(TRIAL_POLL_INTERVAL)
+                }
+
+                is PromptPartDecision.Refuse -> {
+                    if (decision.isFatal || decision.remaining > SHORT_DEFERRAL) {
+                        val reason = if (decision.isFatal) "part_crashes_servers" else "part_may_crash_servers"
+                        refuseSuspect(call, reason, decision.remaining)
+                        return false
+                    }
+                    delay(decision.remaining)
+                }
+            }
+        }
+    }
+
     private fun refuseSuspect(
         call: Call,
         reason: String,
@@ -447,7 +492,9 @@
         )
     }
 
-    private fun recordFirstByte(call: Call) {
+    private fun onAnswerBegun(call: Call) {
+        call.hasAnswerBegun = true
+        promptParts.onAnswerBegun(call)
         val seconds = (ProcessClock.monotonic() - call.exchange.arrived).inWholeMilliseconds / 1_000.0
         metrics.firstByteTime.labelValues(call.route.kind.name).observe(seconds)
     }
@@ -498,7 +545,13 @@
          * Longest deferral for which a suspect waits at the gateway: the time in which gateways report a crash to each
          * other.
          */
-        val SHORT_DEFERRAL = FatalRequestLimits().settlingTime
+        val SHORT_DEFERRAL = CrashLedgerLimits().settlingTime
+
+        /** Interval at which a request that waits for a trial checks its result; short against a latency target. */
+        val TRIAL_POLL_INTERVAL = 10.milliseconds
+
+        /** Retry-After when a trial takes longer than a response should; it ends at the latest when its caller leaves. */
+        val TRIAL_BACKOFF = 500.milliseconds
 
         /**
          * Interval at which an early request checks whether the start is complete; short against its latency target.
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/FatalRequestGuard.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/FatalRequestGuard.kt
@@ -1,7 +1,8 @@
 package io.kumquattrail.forward.call
 
 import io.kumquattrail.decision.catalogue.BackendServer
-import io.kumquattrail.decision.suspect.FatalRequestLedger
+import io.kumquattrail.decision.suspect.CrashLedger
+import io.kumquattrail.decision.suspect.RequestFingerprint
 import io.kumquattrail.decision.suspect.ServerCrash
 import io.kumquattrail.decision.suspect.Suspicion
 import io.kumquattrail.decision.time.MonotonicTime
@@ -16,7 +17,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Returns the suspicion against the request of [call]; without any suspects, its fingerprint is not computed. */
-internal fun FatalRequestLedger.judge(
+internal fun CrashLedger<RequestFingerprint>.judge(
     call: Call,
     now: MonotonicTime,
 ): Suspicion = if (isEmpty) Suspicion.None else classify(call.fingerprint, now)
@@ -24,15 +25,17 @@
 /**
  * Records the crashes of servers that may be due to a request. Must be used on the event loop only.
  *
- * @property onRepeatedCrash called when a server has crashed while it ran a request that was in progress at an earlier
- *   crash.
+ * @property parts guards against parts of prompts that crash servers, whichever requests have them.
+ * @property onNewEvidence called when other gateways should be informed at once: a server has crashed while it ran a
+ *   request that was in progress at an earlier crash, or that has a suspected prompt part.
  */
 internal class FatalRequestGuard(
     private val scope: CoroutineScope,
     private val state: GatewayState,
     pool: ServerConnectionPool,
     private val metrics: ForwardingMetrics,
-    private val onRepeatedCrash: () -> Unit,
+    private val parts: PromptPartGuard,
+    private val onNewEvidence: () -> Unit,
 ) {
     private val ledger = state.fatalRequests
     private val crashCheck = ServerCrashCheck(pool, onChecked = ::logCheck)
@@ -65,6 +68,7 @@
         timeSinceSent: Duration,
     ) {
         val crash = ServerCrash(server = server.name, incarnation = server.incarnation)
+        if (parts.recordCrash(call, crash, timeSinceSent)) onNewEvidence()
         if (!ledger.recordCrash(crash, call.fingerprint, timeSinceSent, ProcessClock.monotonic())) return
         val crashes = ledger.crashCount(call.fingerprint)
         state.log.log(
@@ -77,7 +81,7 @@
             "events" to call.cursor.delivered,
             "parts" to call.sharedPromptParts.take(MAXIMUM_LOGGED_PARTS).joinToString(","),
         )
-        if (crashes > 1) onRepeatedCrash()
+        if (crashes > 1) onNewEvidence()
     }
 
     /** Clears the request of [call] of suspicion, as a server has completed it. */
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/ServerAttempt.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/ServerAttempt.kt
@@ -71,6 +71,7 @@
     private var sentAt: MonotonicTime? = null
     private var hasResponded = false
 
+    private var withdrawalReason: String? = null
     private var firstBodyAt: MonotonicTime? = null
 
     /**
@@ -92,6 +93,7 @@
             pool.acquire(address, connectTimeout = minOf(CONNECT_TIMEOUT, responseTimeout), maximumIdle = maximumIdle)
                 ?: return AttemptStart.NotSent("no connection to $address")
         connection = opened
+        if (withdrawalReason != null) return AttemptStart.NotSent("withdrawn before it was sent")
         sentAt = ProcessClock.monotonic()
         val received = opened.send(message, requestId)
         parts = received
@@ -134,6 +136,13 @@
             null
         }
 
+    /** Stops waiting for the response because of [reason]; closing the connection tells the server to stop, too. */
+    fun withdraw(reason: String) {
+        if (withdrawalReason != null) return
+        withdrawalReason = reason
+        connection?.withdraw(reason)
+    }
+
     /** Ends the attempt. The connection is kept for reuse when its response is complete. */
     fun close() {
         val used = connection ?: return
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/SlotFinder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/SlotFinder.kt
@@ -93,7 +93,10 @@
     ): SlotChoice {
         val now = ProcessClock.monotonic()
         val queue = queueOf(call.service)
-        if (call.sendCount == 0) queue.budget.recordFresh(now)
+        if (!call.isCountedAsFresh) {
+            call.isCountedAsFresh = true
+            queue.budget.recordFresh(now)
+        }
         val tieBreak = random.nextInt(Int.MAX_VALUE)
         // A caller that has received a part of its stream loses all of it if the stream is not completed. A resumed
         // stream therefore goes ahead of the queue, and waits even while the groups refuse requests.
@@ -138,7 +141,7 @@
         call: Call,
         now: MonotonicTime,
     ) {
-        if (isSuspect(call, now)) serversOfSuspects[call] = server.name
+        if (isolationKey(call, now) != null) serversOfSuspects[call] = server.name
         state.loads.started(server.name)
         state.groups.recordSend(server.name, now)
         coldRate.recordSend(server.name, now)
@@ -273,18 +276,23 @@
             tieBreak = tieBreak,
             isWithinRateLimit = { total == null || coldRate.mayStart(it.name, total, now) },
             isolation =
-                if (isSuspect(call, now)) {
-                    SuspectIsolation(key = call.fingerprint.value, occupied = serversOfSuspects.values.toSet())
-                } else {
-                    null
-                },
+                isolationKey(
+                    call,
+                    now,
+                )?.let { SuspectIsolation(key = it, occupied = serversOfSuspects.values.toSet()) },
         )
     }
 
-    private fun isSuspect(
+    /** Returns what [call] is suspected for, its prompt part or the whole request; `null` if it is not suspected. */
+    private fun isolationKey(
         call: Call,
         now: MonotonicTime,
-    ): Boolean = state.fatalRequests.judge(call, now) is Suspicion.Suspect
+    ): String? {
+        val parts = state.suspectPromptParts
+        val part = if (parts.isEmpty) null else parts.suspectsAmong(call.sharedPromptParts, now).firstOrNull()
+        if (part != null) return part.value
+        return call.fingerprint.value.takeIf { state.fatalRequests.judge(call, now) is Suspicion.Suspect }
+    }
 
     private fun queueOf(service: ServiceName): ServiceQueue =
         queues.getOrPut(service) {
--- a/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnection.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnection.kt
@@ -170,6 +170,9 @@
         pipeline.addLast(HttpRequestEncoder(), ByteCounter(), decoder, this)
     }
 
+    /** Closes the connection, and ends the response in progress as broken off because of [reason]. */
+    fun withdraw(reason: String) = breakOff(reason)
+
     /** Closes the connection without delivering the rest of a response in progress. */
     fun close() {
         parts = null
--- a/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerExchange.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerExchange.kt
@@ -83,7 +83,7 @@
                 val message =
                     decodeMessage(exchange.request.body, peer = null) ?: return exchange.respond(HttpReply(BAD_REQUEST))
                 onMessage(message)
-                exchange.respond(HttpReply(OK, body = localMessage().encode()))
+                exchange.respond(HttpReply(OK, body = localMessage(message.requestsAllSuspects).encode()))
             }
 
             CONFIGURATION_PATH -> {
@@ -101,7 +101,9 @@
         val address = NetworkAddress.parse(peer.value) ?: return
         val sentAt = ProcessClock.monotonic()
         val sentAtWall = ProcessClock.wall()
-        val request = HttpMessage("POST", EXCHANGE_PATH, body = localMessage().encode())
+        // A gateway that starts, or that was cut off from the peer, may have missed any of its reports.
+        val isNew = peer !in alivePeers(sentAt)
+        val request = HttpMessage("POST", EXCHANGE_PATH, body = localMessage(withAllSuspects = isNew).encode())
         val response = caller.call(address, request, EXCHANGE_TIMEOUT) as? CallResult.Answered ?: return
         val message = decodeMessage(response.reply.body, peer) ?: return
         onMessage(message)
@@ -156,6 +158,10 @@
         state.loads.recordPeerLoad(message.process, message.inProgress, now)
         state.recordDepartures(message.departures, message.process)
         state.fatalRequests.merge(message.fatalRequests, now)
+        if (message.promptParts.isNotEmpty()) {
+            state.suspectPromptParts.merge(message.promptParts, now)
+            state.onPromptPartsReported()
+        }
         if (message.isMapLeader && !state.isMapLeader) state.groups.updateMembers(message.groups)
         state.allowance.recordProcessCount(alivePeers(now).size + 1, now)
         table.removeLost(now).forEach { (peer, since) ->
@@ -164,10 +170,13 @@
         }
     }
 
-    private fun localMessage(): PeerMessage =
-        PeerMessage(
+    /** @param withAllSuspects whether to report all suspects, and to request the same of the peer. */
+    private fun localMessage(withAllSuspects: Boolean): PeerMessage {
+        val now = ProcessClock.monotonic()
+        val maximumReports = if (withAllSuspects) Int.MAX_VALUE else MAXIMUM_REPORTS
+        return PeerMessage(
             process = state.process,
-            members = alivePeers(ProcessClock.monotonic()) + state.process,
+            members = alivePeers(now) + state.process,
             configurationVersion = state.configuration?.version ?: 0,
             confirmedAge = state.confirmedAge(),
             inProgress = state.loads.ownInProgress.toMap(),
@@ -176,14 +185,20 @@
             isMapLeader = state.isMapLeader,
             departures = state.catalogue.departures,
             groups = if (state.isMapLeader) state.groups.members else emptyMap(),
-            fatalRequests = state.fatalRequests.reports(ProcessClock.monotonic(), MAXIMUM_FATAL_REQUESTS),
+            fatalRequests = state.fatalRequests.reports(now, maximumReports),
+            promptParts = state.suspectPromptParts.reports(now, maximumReports),
+            requestsAllSuspects = withAllSuspects,
         )
+    }
 
     private companion object {
         const val OK = 200
 
-        /** Limit on fatal-request reports per message, about 4 KiB; there are none unless servers have crashed. */
-        const val MAXIMUM_FATAL_REQUESTS = 32
+        /**
+         * Limit on the reports of each kind of suspect in a periodic message, about 4 KiB; there are none unless
+         * servers have crashed.
+         */
+        const val MAXIMUM_REPORTS = 32
         const val BAD_REQUEST = 400
         const val NOT_FOUND = 404
 
--- a/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerMessage.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerMessage.kt
@@ -8,7 +8,8 @@
 import io.kumquattrail.decision.identity.GroupName
 import io.kumquattrail.decision.identity.ProcessName
 import io.kumquattrail.decision.identity.ServerName
-import io.kumquattrail.decision.suspect.FatalRequestReport
+import io.kumquattrail.decision.suspect.CrashReport
+import io.kumquattrail.decision.suspect.PromptPart
 import io.kumquattrail.decision.suspect.RequestFingerprint
 import io.kumquattrail.decision.suspect.ServerCrash
 import kotlin.time.Duration
@@ -27,6 +28,9 @@
  * @property isMapLeader whether the sender is the map leader.
  * @property departures servers that have recently left the registry, each with the registry revision at which it left.
  * @property fatalRequests requests that were in progress when servers crashed.
+ * @property promptParts parts of prompts that may crash servers.
+ * @property requestsAllSuspects whether the receiver is asked to report all of its suspects, not only the gravest ones,
+ *   because the sender has not heard from it for some time.
  * @property groups group of each server according to the map leader; empty if the sender is not the map leader.
  */
 data class PeerMessage(
@@ -40,7 +44,9 @@
     val isMapLeader: Boolean = false,
     val departures: Map<ServerName, Long> = emptyMap(),
     val groups: Map<ServerName, GroupName> = emptyMap(),
-    val fatalRequests: List<FatalRequestReport> = emptyList(),
+    val fatalRequests: List<CrashReport<RequestFingerprint>> = emptyList(),
+    val promptParts: List<CrashReport<PromptPart>> = emptyList(),
+    val requestsAllSuspects: Boolean = false,
 ) {
     /** Encodes the message as JSON. */
     fun encode(): ByteArray {
@@ -60,21 +66,31 @@
         groups.entries.groupBy({ it.value }, { it.key }).forEach { (group, servers) ->
             groupsNode.putArray(group.value).also { array -> servers.forEach { array.add(it.value) } }
         }
-        if (fatalRequests.isNotEmpty()) {
-            val reportsNode = root.putArray("fatal_requests")
-            fatalRequests.forEach { report ->
-                val node = reportsNode.addObject()
-                node.put("fingerprint", report.fingerprint.value)
-                val crashesNode = node.putArray("ends")
-                report.crashes.forEach { (crash, timeSinceSent) ->
-                    addCrash(crashesNode, crash).put("sent_before_ms", timeSinceSent.inWholeMilliseconds)
-                }
-                val clearedNode = node.putArray("cleared")
-                report.cleared.forEach { addCrash(clearedNode, it) }
-                node.put("age_ms", report.age.inWholeMilliseconds)
+        if (requestsAllSuspects) root.put("all_suspects", true)
+        addReports(root, "fatal_requests", "fingerprint", fatalRequests)
+        addReports(root, "prompt_parts", "part", promptParts)
+        return MAPPER.writeValueAsBytes(root)
+    }
+
+    private fun addReports(
+        root: ObjectNode,
+        name: String,
+        suspectName: String,
+        reports: List<CrashReport<*>>,
+    ) {
+        if (reports.isEmpty()) return
+        val array = root.putArray(name)
+        reports.forEach { report ->
+            val node = array.addObject()
+            node.put(suspectName, report.suspect.toString())
+            val crashesNode = node.putArray("ends")
+            report.crashes.forEach { (crash, timeSinceSent) ->
+                addCrash(crashesNode, crash).put("sent_before_ms", timeSinceSent.inWholeMilliseconds)
             }
+            val clearedNode = node.putArray("cleared")
+            report.cleared.forEach { addCrash(clearedNode, it) }
+            node.put("age_ms", report.age.inWholeMilliseconds)
         }
-        return MAPPER.writeValueAsBytes(root)
     }
 
     private fun addCrash(
@@ -117,7 +133,12 @@
                     root.path("departures").properties().associate { (name, revision) ->
                         ServerName(name) to revision.asLong()
                     },
-                fatalRequests = root.path("fatal_requests").mapNotNull(::decodeReport),
+                fatalRequests =
+                    root.path("fatal_requests").mapNotNull { node ->
+                        decodeReport(node, "fingerprint") { RequestFingerprint(it) }
+                    },
+                promptParts = root.path("prompt_parts").mapNotNull { decodeReport(it, "part", PromptPart::of) },
+                requestsAllSuspects = root.path("all_suspects").asBoolean(false),
                 groups =
                     root
                         .path("groups")
@@ -127,11 +148,16 @@
             )
         }
 
-        private fun decodeReport(node: JsonNode): FatalRequestReport? {
-            val fingerprint = node.path("fingerprint").takeIf { it.isTextual }?.asText() ?: return null
+        private fun <Suspect : Any> decodeReport(
+            node: JsonNode,
+            suspectName: String,
+            decodeSuspect: (String) -> Suspect?,
+        ): CrashReport<Suspect>? {
+            val suspect = node.path(suspectName).takeIf { it.isTextual }?.let { decodeSuspect(it.asText()) }
+            if (suspect == null) return null
             val age = node.path("age_ms").takeIf { it.isIntegralNumber } ?: return null
-            return FatalRequestReport(
-                fingerprint = RequestFingerprint(fingerprint),
+            return CrashReport(
+                suspect = suspect,
                 crashes =
                     node.path("ends").associate {
                         decodeCrash(it) to it.path("sent_before_ms").asLong(0).milliseconds
--- a/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
@@ -120,7 +120,7 @@
             headers = headers,
             metrics = metrics,
             startTime = settings.startupTimeout,
-            onRepeatedCrash = { peers.exchangeRound(scope) },
+            onNewEvidence = { peers.exchangeRound(scope) },
             onPause = { server, pause, now -> expertMapManager?.recordPause(server, pause, now) },
         )
     private var expertMapManager: ExpertMapManager? = null
--- a/forward/src/main/kotlin/io/kumquattrail/forward/process/GatewayState.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/process/GatewayState.kt
@@ -11,7 +11,10 @@
 import io.kumquattrail.decision.placement.SharedAllowance
 import io.kumquattrail.decision.route.ConfirmationClock
 import io.kumquattrail.decision.route.RoutingConfiguration
-import io.kumquattrail.decision.suspect.FatalRequestLedger
+import io.kumquattrail.decision.suspect.CrashLedger
+import io.kumquattrail.decision.suspect.PROMPT_PART_LIMITS
+import io.kumquattrail.decision.suspect.PromptPart
+import io.kumquattrail.decision.suspect.RequestFingerprint
 import io.kumquattrail.decision.time.MonotonicTime
 import io.kumquattrail.forward.log.EventLog
 import kotlin.time.Duration
@@ -43,7 +46,13 @@
     val groups = GroupProgress()
 
     /** Requests that were in progress when servers crashed. */
-    val fatalRequests = FatalRequestLedger()
+    val fatalRequests = CrashLedger<RequestFingerprint>()
+
+    /** Parts of prompts on which no answer had begun when servers crashed. */
+    val suspectPromptParts = CrashLedger<PromptPart>(PROMPT_PART_LIMITS)
+
+    /** Called after a peer has reported suspected prompt parts. */
+    var onPromptPartsReported: () -> Unit = {}
 
     /** This process's part of the allowances that all gateways share. */
     val allowance = SharedAllowance(minimumProcesses = minimumProcesses)
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/FatalPromptPartSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/FatalPromptPartSpec.kt
@@ -41,6 +41,24 @@
                 }
             }
 
+            // Several requests with the part wait at other servers when the first one crashes.
+            it(
+                "requests that already wait for an answer are withdrawn, so that the part crashes three servers at most",
+            ) {
+                FatalRequestFleet(crashDelay = 300.milliseconds).use { fleet ->
+                    fleet.startPromptCallers()
+                    Thread.sleep(500)
+                    fleet.sendWithFatalParts("$FATAL_PART-1", time = 4.seconds)
+                    println("fatal prompt part, requests waiting: ${fleet.summary()}")
+                    withClue(fleet.summary()) {
+                        fleet.servers.crashes.size shouldBeGreaterThan 0
+                        fleet.servers.crashes.size shouldBeLessThanOrEqual MAXIMUM_CRASHES
+                        fleet.failedFirstAttempts().shouldBeEmpty()
+                        fleet.wronglyRefused().shouldBeEmpty()
+                    }
+                }
+            }
+
             it("two fatal prompt parts at the same time crash at most three servers each") {
                 FatalRequestFleet().use { fleet ->
                     fleet.startPromptCallers()
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/FatalRequestFleet.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/FatalRequestFleet.kt
@@ -37,13 +37,20 @@
     gatewayCount: Int = 3,
     serverCount: Int = 8,
     groupSize: Int = 1,
+    crashDelay: Duration = 20.milliseconds,
 ) : AutoCloseable {
     private val processes = List(gatewayCount) { ProcessName("127.0.0.1:${LoopbackPorts.take()}") }
     private val version = AtomicLong(1)
     private val isClosed = AtomicBoolean(false)
     val fixtures = CopyOnWriteArrayList(processes.map(::startGateway))
     private val fatalStatuses = CopyOnWriteArrayList<String>()
-    val servers = RestartingServers(count = serverCount, groupSize = groupSize, onChange = { publish() })
+    val servers =
+        RestartingServers(
+            count = serverCount,
+            groupSize = groupSize,
+            crashDelay = crashDelay,
+            onChange = { publish() },
+        )
     val ordinaryRequests = CopyOnWriteArrayList<OrdinaryRequest>()
 
     init {
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/RestartingServers.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/RestartingServers.kt
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.net.SocketTimeoutException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.concurrent.thread
@@ -48,12 +49,14 @@
  *
  * @property groupSize number of servers that work in lockstep: a crash of one stalls the others, which then abort their
  *   requests and refuse new ones until all members are back; 1 for servers that don't form groups.
+ * @property crashDelay time from the arrival of a fatal request to the crash of its server.
  * @property onChange called with the registrations after each change.
  */
 internal class RestartingServers(
     count: Int,
     private val groupSize: Int = 1,
     private val restartTime: Duration = 2.seconds,
+    private val crashDelay: Duration = 20.milliseconds,
     private val onChange: (List<BackendServer>) -> Unit,
 ) : AutoCloseable {
     private val servers = List(count) { RestartingServer(it) }
@@ -186,7 +189,7 @@
                 return true
             }
             if (isFatal) {
-                Thread.sleep(CRASH_DELAY.inWholeMilliseconds)
+                if (isClosedWithin(crashDelay, socket)) return false
                 crash(incarnationListener, cause = fatalPart)
                 return false
             }
@@ -209,6 +212,22 @@
             return true
         }
 
+        /** Waits for [time]; returns whether the gateway closes the connection meanwhile, which cancels its request. */
+        private fun isClosedWithin(
+            time: Duration,
+            socket: Socket,
+        ): Boolean {
+            socket.soTimeout = time.inWholeMilliseconds.toInt()
+            val isClosed =
+                try {
+                    socket.getInputStream().read() < 0
+                } catch (_: SocketTimeoutException) {
+                    false
+                }
+            socket.soTimeout = 0
+            return isClosed
+        }
+
         private fun fatalPart(request: ReceivedMessage): String? =
             request
                 .header("Prompt-Parts")
@@ -228,8 +247,6 @@
     private companion object {
         const val BACKLOG = 50
 
-        /** Time from the arrival of the fatal request to the crash of its server. */
-        val CRASH_DELAY = 20.milliseconds
         val WORK_TIME = 50.milliseconds
 
         /** Events that a stream writes, at intervals of [WORK_TIME], before its server crashes. */
