Do not pass on responses without a length that a crash has cut off

A response with neither a length nor chunks ends with its connection. Callers received such a response as complete when its server had crashed in the middle, and an empty stream when it crashed before the first event; the crash itself went unnoticed, as nothing had failed.

At the end of such a response the gateway now checks whether the server still listens, as after a lost connection, unless the server is leaving. If it is gone, the response is broken off: a stream is resumed at another server, a repeatable request runs again, any other gets 502. A stream that ends before its first event is broken off in any case, unless it was resumed.

--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -56,6 +56,7 @@
             pauses = pauses,
             maximumEventBytes = pool.limits.eventBytes,
             onFirstByte = ::onAnswerBegun,
+            isCutOff = ::isCutOff,
         )
 
     private val promptParts = PromptPartGuard(state)
@@ -259,18 +260,35 @@
         response: AttemptStart.Responding,
     ): AttemptOutcome =
         when {
-            response.status !in SUCCESS -> deliverFailure(call, attempt, response)
+            response.status !in SUCCESS -> deliverFailure(call, server, attempt, response)
             call.route.kind == RouteKind.STREAMING -> streams.deliver(call, server, attempt, response)
-            else -> deliverComplete(call, attempt, response)
+            else -> deliverComplete(call, server, attempt, response)
         }
 
+    /**
+     * Returns whether a crash of [server] has cut off the response of [attempt], which ended with its connection.
+     *
+     * Nothing in such a response tells its end from a crash, but a crashed server no longer listens. A server that is
+     * leaving may exit as soon as it has responded.
+     */
+    private suspend fun isCutOff(
+        server: BackendServer,
+        attempt: ServerAttempt,
+    ): Boolean {
+        if (!attempt.endedWithConnection) return false
+        val isLeaving = state.catalogue.usable(server.service).none { it.name == server.name }
+        return !isLeaving && fatalRequests.hasCrashed(server)
+    }
+
     private suspend fun deliverComplete(
         call: Call,
+        server: BackendServer,
         attempt: ServerAttempt,
         response: AttemptStart.Responding,
     ): AttemptOutcome {
         var reason = ""
         val body = attempt.readBody { reason = it } ?: return AttemptOutcome.broken(reason)
+        if (isCutOff(server, attempt)) return AttemptOutcome.broken(CUT_OFF_REASON)
         call.exchange.respond(HttpReply(response.status, response.headers.endToEnd(), body))
         onAnswerBegun(call)
         return AttemptOutcome.Finished(response.status)
@@ -279,10 +297,12 @@
     /** Passes a server's own failure response on unchanged, unless the request may run on another server. */
     private suspend fun deliverFailure(
         call: Call,
+        server: BackendServer,
         attempt: ServerAttempt,
         response: AttemptStart.Responding,
     ): AttemptOutcome {
         val body = attempt.readBody {} ?: return AttemptOutcome.broken("broken failure ${response.status}")
+        if (isCutOff(server, attempt)) return AttemptOutcome.broken(CUT_OFF_REASON)
         val reply = HttpReply(response.status, response.headers.endToEnd(), body)
         // To callers these statuses mean that the request has not run, which this server has not confirmed.
         val isUnconfirmedRefusal = response.status in NOT_RUN_STATUSES
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/ServerAttempt.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/ServerAttempt.kt
@@ -75,13 +75,16 @@
     private var firstBodyAt: MonotonicTime? = null
 
     /**
-     * Whether the connection was lost, not closed by the gateway, in the way that it is when a request crashes its
-     * server. A server that has been sending the response body for [CRASH_ATTRIBUTION_TIME] is assumed not to crash
+     * Whether the connection ended, not closed by the gateway, in the way that it does when a request crashes its server. A server that has been sending the response body for [CRASH_ATTRIBUTION_TIME] is assumed not to crash
      * because of the request.
      */
     var mayHaveCrashedServer = false
         private set
 
+    /** Whether the response ended with its connection, so that a crash of the server may have cut it off. */
+    var endedWithConnection = false
+        private set
+
     /** Connects, sends [message] and waits up to [responseTimeout] for the head of the response. */
     suspend fun start(
         message: HttpMessage,
@@ -101,7 +104,7 @@
             null -> AttemptStart.TimedOut
             is ResponsePart.Head -> classify(first)
             is ResponsePart.Broken -> AttemptStart.Unusable(first.reason)
-            is ResponsePart.Body, ResponsePart.End -> AttemptStart.Unusable("response without head")
+            is ResponsePart.Body, is ResponsePart.End -> AttemptStart.Unusable("response without head")
         }
     }
 
@@ -112,7 +115,9 @@
         hasResponded = true
         val now = ProcessClock.monotonic()
         if (part is ResponsePart.Body && firstBodyAt == null) firstBodyAt = now
-        if (part is ResponsePart.Broken && part.connectionLost) {
+        endedWithConnection = part is ResponsePart.End && part.endsWithConnection
+        val lostConnection = part is ResponsePart.Broken && part.connectionLost
+        if (endedWithConnection || lostConnection) {
             mayHaveCrashedServer = firstBodyAt?.let { now - it < CRASH_ATTRIBUTION_TIME } ?: true
         }
         return part
@@ -127,7 +132,7 @@
             while (fault == null) {
                 when (val part = next(Duration.INFINITE)) {
                     is ResponsePart.Body -> if (!body.add(part.bytes)) fault = "response is too long"
-                    ResponsePart.End -> return@use body.toByteArray()
+                    is ResponsePart.End -> return@use body.toByteArray()
                     is ResponsePart.Broken -> fault = part.reason
                     is ResponsePart.Head, null -> fault = "second head"
                 }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/StreamDelivery.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/StreamDelivery.kt
@@ -9,12 +9,16 @@
 import io.kumquattrail.forward.process.ProcessClock
 import kotlin.time.Duration
 
+/** Reason of a failed attempt whose response ended together with its server. */
+internal const val CUT_OFF_REASON = "response cut off by a crash of its server"
+
 /**
  * Passes the events of streams on to callers, and abandons an attempt whose stream has stalled if it may be resumed on
  * another server.
  *
  * @property maximumEventBytes longest event, in bytes.
  * @property onFirstByte called when the first event of a stream is sent to its caller.
+ * @property isCutOff returns whether a crash of the server has cut off a response that looks complete.
  */
 internal class StreamDelivery(
     private val groups: GroupProgress,
@@ -22,6 +26,7 @@
     private val pauses: StreamPauses,
     private val maximumEventBytes: Int,
     private val onFirstByte: (Call) -> Unit,
+    private val isCutOff: suspend (BackendServer, ServerAttempt) -> Boolean,
 ) {
     /** Delivers the stream that [server] sends, until it ends, breaks off or stalls. */
     suspend fun deliver(
@@ -65,8 +70,13 @@
                     if (fault != null) return AttemptOutcome.broken(fault)
                 }
 
-                ResponsePart.End -> {
+                is ResponsePart.End -> {
                     if (call.cursor.hasPartialEvent) return AttemptOutcome.broken("stream ended inside an event")
+                    // Only a resumed stream may have no event left.
+                    if (call.cursor.lastId == null && call.cursor.delivered == 0) {
+                        return AttemptOutcome.broken("stream ended before its first event")
+                    }
+                    if (isCutOff(server, attempt)) return AttemptOutcome.broken(CUT_OFF_REASON)
                     if (!call.exchange.isStarted) call.exchange.start(response.status, response.headers.endToEnd())
                     call.exchange.end()
                     return AttemptOutcome.Finished(response.status)
--- a/forward/src/main/kotlin/io/kumquattrail/forward/http/HttpCaller.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/http/HttpCaller.kt
@@ -73,7 +73,7 @@
                     return CallResult.Failed(part.reason)
                 }
 
-                ResponsePart.End -> {
+                is ResponsePart.End -> {
                     val complete = head ?: return CallResult.Failed("no head")
                     return CallResult.Answered(HttpReply(complete.status, complete.headers, body.toByteArray()))
                 }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnection.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnection.kt
@@ -38,8 +38,15 @@
         val bytes: ByteArray,
     ) : ResponsePart
 
-    /** The response is complete. */
-    data object End : ResponsePart
+    /**
+     * The response is complete, as far as the protocol shows.
+     *
+     * @property endsWithConnection whether the response has neither a length nor chunks, so that the end of a connection
+     *   whose server has crashed looks the same.
+     */
+    data class End(
+        val endsWithConnection: Boolean,
+    ) : ResponsePart
 
     /**
      * The response ended early; nothing follows.
@@ -114,6 +121,7 @@
     private var skippedBytes = 0
     private var interimHeads = 0
     private var inBody = false
+    private var endsWithConnection = false
     private var hasResponded = false
     private var undecodedBytes = 0
     private var unreadBytes = 0
@@ -218,6 +226,9 @@
             if (skippedResponses > MAXIMUM_SKIPPED_RESPONSES) breakOff("too many responses to other requests")
             return
         }
+        endsWithConnection =
+            !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response) &&
+            response.status().code() !in STATUSES_WITHOUT_BODY
         keepOpen = HttpUtil.isKeepAlive(response) &&
             (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response))
         keepAlive = keepAliveOf(response)
@@ -244,7 +255,7 @@
         parts = null
         hasResponded = true
         idleSince = ProcessClock.monotonic()
-        receiver?.add(ResponsePart.End)
+        receiver?.add(ResponsePart.End(endsWithConnection))
         context.channel().config().isAutoRead = true
         // Bytes after a complete response would be read as the start of the next one.
         if (decoder.undecodedBytes > 0) keepOpen = false
@@ -306,6 +317,9 @@
     private companion object {
         val INFORMATIONAL = 100..199
 
+        /** Statuses of responses that have no body, whatever their headers say. */
+        val STATUSES_WITHOUT_BODY = setOf(204, 304)
+
         /** Limits of the decoder, in bytes. Responses have short heads. */
         const val MAXIMUM_LINE_BYTES = 8_192
         const val MAXIMUM_HEAD_BYTES = 65_536
--- a/forward/src/test/kotlin/io/kumquattrail/forward/http/ResponsePartsSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/http/ResponsePartsSpec.kt
@@ -19,9 +19,9 @@
                         delay(1)
                         // The timeout and the part are both due when the thread is free again.
                         Thread.sleep(6)
-                        parts.add(ResponsePart.End)
+                        parts.add(ResponsePart.End(endsWithConnection = false))
                         val part = timedRead.await() ?: withTimeoutOrNull(500.milliseconds) { parts.next() }
-                        part shouldBe ResponsePart.End
+                        part shouldBe ResponsePart.End(endsWithConnection = false)
                     }
                 }
             }
