--- a/decision/src/main/kotlin/io/kumquattrail/decision/suspect/PromptPartTrials.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/suspect/PromptPartTrials.kt
@@ -1,6 +1,7 @@
 package io.kumquattrail.decision.suspect
 
 import io.kumquattrail.decision.time.MonotonicTime
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -75,6 +76,24 @@
             is Suspicion.Fatal -> PromptPartDecision.Refuse(suspicion.crashes, suspicion.remaining, isFatal = true)
         }
 
+    /**
+     * Returns those of [parts], of a request that waited for an answer at [crash], against which the crash counts. Parts
+     * in [answered] have occurred in other answers.
+     *
+     * A caller may send any number of parts, so their number is limited. Parts that are suspected already go first. The
+     * selection of the others differs between crashes, so that a fatal part at any position is recorded sooner or later.
+     */
+    fun candidates(
+        parts: List<PromptPart>,
+        answered: Set<PromptPart>,
+        crash: ServerCrash,
+    ): List<PromptPart> {
+        val candidates = parts.filterNot { it in answered }
+        if (candidates.size <= MAXIMUM_CANDIDATES) return candidates
+        val (suspected, others) = candidates.partition { ledger.crashCount(it) > 0 }
+        return (suspected + others.shuffled(Random(crash.hashCode()))).take(MAXIMUM_CANDIDATES)
+    }
+
     /**
      * Returns whether a request with [parts] that is in progress and has no answer yet should be withdrawn from its
      * server, as one of the parts would be refused now.
@@ -102,4 +121,12 @@
         suspects.forEach { requestsOnTrial[it] = request }
         return PromptPartDecision.Try(suspects.first())
     }
+
+    private companion object {
+        /**
+         * Parts of one request that are recorded at a crash. The requests in the slots of a server, together, do not
+         * displace all other suspects from a full ledger.
+         */
+        const val MAXIMUM_CANDIDATES = 64
+    }
 }
--- a/decision/src/test/kotlin/io/kumquattrail/decision/suspect/PromptPartSimulation.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/suspect/PromptPartSimulation.kt
@@ -119,7 +119,7 @@
         interrupted.filterNot { it.hasAnswer }.forEach { request ->
             val gateway = request.gateway
             val answered = answersOf(gateway).flatMapTo(HashSet()) { it.parts }
-            request.parts.filterNot { it in answered }.forEach { part ->
+            gateway.trials.candidates(request.parts, answered, crash).forEach { part ->
                 gateway.ledger.recordCrash(crash, part, TICK * (tick - request.sentTick), now)
             }
             gateway.trials.end(request)
--- a/decision/src/test/kotlin/io/kumquattrail/decision/suspect/PromptPartTrialsSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/suspect/PromptPartTrialsSpec.kt
@@ -80,6 +80,31 @@
             }
         }
 
+        describe("requests with a large number of parts") {
+            // Otherwise, one request could displace every suspect, or hide the fatal part behind others.
+            it("records a limited number of parts, and still finds the fatal one among many that never recur") {
+                val ledger = CrashLedger<PromptPart>(PROMPT_PART_LIMITS)
+                val trials = PromptPartTrials<String>(ledger)
+                val crashes =
+                    (1..50).takeWhile { crash ->
+                        val others =
+                            List(500) { checkNotNull(PromptPart.of("${crash.toString(16)}a${it.toString(16)}")) }
+                        val parts = others + FATAL
+                        val recorded = trials.candidates(parts, setOf(SHARED), ServerCrash(ServerName("s$crash")))
+                        recorded.size shouldBeLessThanOrEqual 64
+                        recorded.forEach { ledger.recordCrash(crash, it) }
+                        trials.decide("request", parts, START + 1.seconds) !is PromptPartDecision.Refuse
+                    }
+                crashes.size shouldBeLessThanOrEqual 25
+            }
+
+            it("does not record parts that occur in other answers") {
+                val trials = PromptPartTrials<String>(CrashLedger(PROMPT_PART_LIMITS))
+                trials.candidates(listOf(SHARED, FATAL), setOf(SHARED), ServerCrash(ServerName("s1"))) shouldBe
+                    listOf(FATAL)
+            }
+        }
+
         describe("ids of parts") {
             it("are read regardless of case and spaces, and bounded in size") {
                 PromptPart.of(" 5C1E ") shouldBe PromptPart.of("5c1e")
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/PromptPartGuard.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/PromptPartGuard.kt
@@ -64,8 +64,8 @@
         if (call.hasAnswerBegun) return false
         val answered = calls.filter { it.hasAnswerBegun }.flatMapTo(HashSet()) { it.sharedPromptParts }
         val recorded =
-            call.sharedPromptParts
-                .filterNot { it in answered }
+            trials
+                .candidates(call.sharedPromptParts, answered, crash)
                 .filter { ledger.recordCrash(crash, it, timeSinceSent, ProcessClock.monotonic()) }
         recorded.forEach { part ->
             state.log.log(
