--- a/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
+++ b/measure/src/main/kotlin/io/kumquattrail/measure/Measurements.kt
@@ -10,6 +10,7 @@
 import io.kumquattrail.measure.limit.LimitsMeasurement
 import io.kumquattrail.measure.matrix.FaultMatrixMeasurement
 import io.kumquattrail.measure.routing.RoutingMeasurement
+import io.kumquattrail.measure.suspect.PromptPartsMeasurement
 import io.kumquattrail.measure.warning.WarningsMeasurement
 import io.kumquattrail.measure.zone.ZoneMeasurement
 
@@ -29,6 +30,7 @@
             MembershipMeasurement,
             RecoveryMeasurement,
             FaultMatrixMeasurement,
+            PromptPartsMeasurement,
         )
 
     /** Finds the measurement called [name], or `null`. */
