Stop classifying requests once every suspect is cleared

Cleared records stay in the ledger for an hour, to recognise older reports of peers. Until then every request was classified, and its prompt header read, although nothing was suspected. hasSuspects replaces isEmpty. CrashLedgerSpec "has suspects only until they are cleared or expire".

--- a/decision/src/main/kotlin/io/kumquattrail/decision/suspect/CrashLedger.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/suspect/CrashLedger.kt
@@ -125,8 +125,9 @@
 ) {
     private val records = LinkedHashMap<Suspect, Record>()
 
-    /** Whether no crashes are recorded for any suspect. */
-    val isEmpty: Boolean get() = records.isEmpty()
+    /** Whether crashes count against any suspect; requests need not be classified otherwise. */
+    var hasSuspects = false
+        private set
 
     /** Classifies a request that consists of [suspect]. */
     fun classify(
@@ -232,6 +233,7 @@
         limit: Int,
     ): List<CrashReport<Suspect>> {
         records.values.removeAll { isExpired(it, now) }
+        updateHasSuspects()
         return records.entries
             .filter { (_, record) -> record.crashes.size > 1 || now - record.updated < limits.singleCrashReportedFor }
             .sortedWith(
@@ -300,6 +302,11 @@
             )
         // The oldest suspect with the fewest crashes is the least likely to be fatal.
         if (records.size > limits.maximumSuspects) records.remove(records.minBy { it.value.crashes.size }.key)
+        updateHasSuspects()
+    }
+
+    private fun updateHasSuspects() {
+        hasSuspects = records.values.any { it.crashes.isNotEmpty() }
     }
 
     /** @property updated time at which the crashes that this process has recorded for the suspect last changed. */
--- a/decision/src/test/kotlin/io/kumquattrail/decision/suspect/CrashLedgerSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/suspect/CrashLedgerSpec.kt
@@ -139,6 +139,21 @@
             }
         }
 
+        describe("a ledger without suspects") {
+            // Requests are classified, and their prompt headers read, only while there is a suspect.
+            it("has suspects only until they are cleared or expire") {
+                val ledger = CrashLedger<RequestFingerprint>()
+                ledger.hasSuspects shouldBe false
+                ledger.recordCrashes(1)
+                ledger.hasSuspects shouldBe true
+                ledger.recordCompletion(FATAL, START)
+                ledger.hasSuspects shouldBe false
+                ledger.recordCrashes(2)
+                ledger.reports(START + 1.hours, limit = 1)
+                ledger.hasSuspects shouldBe false
+            }
+        }
+
         describe("a full ledger") {
             it("keeps a full ledger within its bounds and evicts harmless requests first") {
                 val ledger =
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/FatalRequestGuard.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/FatalRequestGuard.kt
@@ -20,7 +20,7 @@
 internal fun CrashLedger<RequestFingerprint>.judge(
     call: Call,
     now: MonotonicTime,
-): Suspicion = if (isEmpty) Suspicion.None else classify(call.fingerprint, now)
+): Suspicion = if (hasSuspects) classify(call.fingerprint, now) else Suspicion.None
 
 /**
  * Records the crashes of servers that may be due to a request. Must be used on the event loop only.
@@ -89,7 +89,7 @@
 
     /** Clears the request of [call] of suspicion, as a server has completed it. */
     fun onCompleted(call: Call) {
-        if (ledger.isEmpty) return
+        if (!ledger.hasSuspects) return
         val cleared = ledger.recordCompletion(call.fingerprint, ProcessClock.monotonic())
         if (cleared.isEmpty()) return
         state.log.log(
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/PromptPartGuard.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/PromptPartGuard.kt
@@ -38,10 +38,10 @@
 
     /** Decides whether [call] may be sent to a server now. */
     fun decide(call: Call): PromptPartDecision =
-        if (ledger.isEmpty) {
-            PromptPartDecision.Run
-        } else {
+        if (ledger.hasSuspects) {
             trials.decide(call, call.sharedPromptParts, ProcessClock.monotonic())
+        } else {
+            PromptPartDecision.Run
         }
 
     /** Returns whether [call] is on trial for a suspected part. */
@@ -82,7 +82,7 @@
 
     /** Clears the parts of [call], as a server has begun to answer it. */
     fun onAnswerBegun(call: Call) {
-        if (ledger.isEmpty) return
+        if (!ledger.hasSuspects) return
         trials.end(call)
         call.sharedPromptParts.forEach { clear(it, call) }
     }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/SlotFinder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/SlotFinder.kt
@@ -289,7 +289,8 @@
         now: MonotonicTime,
     ): String? {
         val parts = state.suspectPromptParts
-        val part = if (parts.isEmpty) null else parts.suspectsAmong(call.sharedPromptParts, now).firstOrNull()
+        val part =
+            if (parts.hasSuspects) parts.suspectsAmong(call.sharedPromptParts, now).firstOrNull() else null
         if (part != null) return part.value
         return call.fingerprint.value.takeIf { state.fatalRequests.judge(call, now) is Suspicion.Suspect }
     }
