Move the admission of suspects out of CallForwarder

SuspectAdmission holds the checks for whole requests and for prompt parts, with the short waits that settle a question. No change of behaviour.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/suspect/CrashLedger.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/suspect/CrashLedger.kt
@@ -17,15 +17,6 @@
     val incarnation: Long = 0,
 )
 
-private val Suspicion.gravity: Int
-    get() =
-        when (this) {
-            Suspicion.None -> 0
-            is Suspicion.Suspect -> 1
-            is Suspicion.Deferred -> 2
-            is Suspicion.Fatal -> 3
-        }
-
 /** Classifies a request by the crashes that it, or a part of its prompt, may have caused. */
 sealed interface Suspicion {
     /** No crashes are recorded, and the request runs like any other. */
@@ -52,6 +43,15 @@
     ) : Suspicion
 }
 
+private val Suspicion.gravity: Int
+    get() =
+        when (this) {
+            Suspicion.None -> 0
+            is Suspicion.Suspect -> 1
+            is Suspicion.Deferred -> 2
+            is Suspicion.Fatal -> 3
+        }
+
 /**
  * Reports the crashes of one suspect from one process to others.
  *
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -10,9 +10,6 @@
 import io.kumquattrail.decision.route.Route
 import io.kumquattrail.decision.route.RouteKind
 import io.kumquattrail.decision.route.RoutingConfiguration
-import io.kumquattrail.decision.suspect.CrashLedgerLimits
-import io.kumquattrail.decision.suspect.PromptPartDecision
-import io.kumquattrail.decision.suspect.Suspicion
 import io.kumquattrail.decision.time.MonotonicTime
 import io.kumquattrail.forward.http.CallerExchange
 import io.kumquattrail.forward.http.CallerRequestHandler
@@ -61,6 +58,7 @@
 
     private val promptParts = PromptPartGuard(state)
     private val fatalRequests = FatalRequestGuard(scope, state, pool, metrics, promptParts, onNewEvidence)
+    private val suspects = SuspectAdmission(fatalRequests, promptParts)
 
     override suspend fun handle(exchange: CallerExchange) {
         val request = exchange.request
@@ -171,7 +169,7 @@
     private suspend fun runAttempts(call: Call) {
         pauses.delayPrompt(call)
         while (true) {
-            if (!mayRun(call)) return
+            suspects.check(call)?.let { return refuseSuspect(call, it) }
             val wasOnTrial = promptParts.isOnTrial(call)
             val choice = slotFinder.select(call, random)
             when (choice) {
@@ -179,7 +177,7 @@
                 is SlotChoice.Selected -> Unit
             }
             // While this request waited, one like it, sent by another gateway, may have crashed a server.
-            if (!mayRun(call)) return
+            suspects.check(call)?.let { return refuseSuspect(call, it) }
             // A trial may need another server than the one selected before.
             if (promptParts.isOnTrial(call) != wasOnTrial) continue
             val outcome = runAttempt(call, choice.server)
@@ -197,7 +195,7 @@
                     if (outcome.kind == FailureKind.RAN) fatalRequests.onCompleted(call)
                     if (!mayRetry(call, outcome)) return fail(call, outcome)
                     // The server that all gateways use for trials of this part may have crashed in one of them.
-                    if (trialServerIsGone) delay(SHORT_DEFERRAL)
+                    if (trialServerIsGone) delay(SuspectAdmission.SHORT_DEFERRAL)
                 }
             }
         }
@@ -376,62 +374,20 @@
         )
     }
 
-    /**
-     * Returns whether [call] may run, after a short wait if that settles the question; sends the refusal if it may not.
-     */
-    private suspend fun mayRun(call: Call): Boolean {
-        var suspicion = fatalRequests.judge(call)
-        // Other gateways report the crashes that they have seen within this time, and waiting costs the caller less
-        // than a retry.
-        while (suspicion is Suspicion.Deferred && suspicion.remaining <= SHORT_DEFERRAL) {
-            delay(suspicion.remaining)
-            suspicion = fatalRequests.judge(call)
-        }
-        when (suspicion) {
-            Suspicion.None, is Suspicion.Suspect -> return mayRunWithParts(call)
-            is Suspicion.Deferred -> refuseSuspect(call, "may_end_servers", suspicion.remaining)
-            is Suspicion.Fatal -> refuseSuspect(call, "ends_servers", suspicion.remaining)
-        }
-        return false
-    }
-
-    /** Does the same as [mayRun] for the parts of the call's prompt. */
-    private suspend fun mayRunWithParts(call: Call): Boolean {
-        val waitStart = ProcessClock.monotonic()
-        while (true) {
-            when (val decision = promptParts.decide(call)) {
-                PromptPartDecision.Run, is PromptPartDecision.Try -> {
-                    return true
-                }
-
-                PromptPartDecision.Wait -> {
-                    if (ProcessClock.monotonic() - waitStart > call.route.latencyTarget) {
-                        refuseSuspect(call, "part_on_trial", TRIAL_BACKOFF)
-                        return false
-                    }
-                    delay(TRIAL_POLL_INTERVAL)
-                }
-
-                is PromptPartDecision.Refuse -> {
-                    if (decision.isFatal || decision.remaining > SHORT_DEFERRAL) {
-                        val reason = if (decision.isFatal) "part_crashes_servers" else "part_may_crash_servers"
-                        refuseSuspect(call, reason, decision.remaining)
-                        return false
-                    }
-                    delay(decision.remaining)
-                }
-            }
-        }
-    }
-
     private fun refuseSuspect(
         call: Call,
-        reason: String,
-        remaining: Duration,
+        refusal: SuspectRefusal,
     ) {
         if (call.exchange.isStarted) return call.exchange.abort()
         val status = if (call.runCount == 0) 503 else 502
-        refuse(call.exchange, call.requestId, status, reason, remaining, "fingerprint" to call.fingerprint)
+        refuse(
+            call.exchange,
+            call.requestId,
+            status,
+            refusal.reason,
+            refusal.retryAfter,
+            "fingerprint" to call.fingerprint,
+        )
     }
 
     private fun endAtDeadline(call: Call) {
@@ -561,18 +517,6 @@
         /** Retry-After while the process stops; short, as new connections already go to other processes. */
         val STOPPING_BACKOFF = 50.milliseconds
 
-        /**
-         * Longest deferral for which a suspect waits at the gateway: the time in which gateways report a crash to each
-         * other.
-         */
-        val SHORT_DEFERRAL = CrashLedgerLimits().settlingTime
-
-        /** Interval at which a request that waits for a trial checks its result; short against a latency target. */
-        val TRIAL_POLL_INTERVAL = 10.milliseconds
-
-        /** Retry-After when a trial takes longer than a response should; it ends at the latest when its caller leaves. */
-        val TRIAL_BACKOFF = 500.milliseconds
-
         /**
          * Interval at which an early request checks whether the start is complete; short against its latency target.
          */
