--- a/decision/src/main/kotlin/io/kumquattrail/decision/record/PublishedRecord.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/record/PublishedRecord.kt
@@ -10,7 +10,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentSetOf
 
-/** Describes one thing that operators published. Records of old and new schema versions stand side by side. */
+/** A record that operators have published. Records of old and new schema versions coexist. */
 sealed interface PublishedRecord {
     /** Version of the schema in which the record was published. */
     val schemaVersion: Int
@@ -85,9 +85,9 @@
  * @property address `IP:PORT` of the agent.
  * @property weight share of the service's traffic relative to other servers, at least 1.
  * @property inService `false` while operators keep the VM out of service.
- * @property warmConcurrency requests that the warm server bears at once.
- * @property coldConcurrency requests that the server bears at once in cold start, at least 1.
- * @property coldTokens prompt and output tokens in flight that the server bears in cold start.
+ * @property warmConcurrency requests that the warm server can run at once.
+ * @property coldConcurrency requests that the server can run at once in cold start, at least 1.
+ * @property coldTokens prompt and output tokens in flight that the server supports in cold start.
  * @property checksFencing whether the server refuses an order that carries an old fencing number.
  */
 data class BackendServerRecord(
@@ -106,7 +106,7 @@
     override val key: RecordKey get() = RecordKey(RecordKind.SERVER, name.value)
 }
 
-/** Tells a service of model runners from a plain service. */
+/** Distinguishes services of model runners from plain services. */
 enum class ServiceKind { MODEL, PLAIN }
 
 /**
@@ -127,7 +127,7 @@
 }
 
 /**
- * Says whether calls of one method under one path may be repeated.
+ * Defines whether calls of one method under one path may be repeated.
  *
  * @property method HTTP method in upper case, or `*` for any.
  * @property pathPrefix path prefix below the service's root, starting with `/`.
--- a/decision/src/main/kotlin/io/kumquattrail/decision/record/RecordSet.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/record/RecordSet.kt
@@ -38,7 +38,7 @@
     fun organisation(name: OrganisationName): OrganisationRecord? =
         records[RecordKey(RecordKind.ORGANISATION, name.value)] as? OrganisationRecord
 
-    /** Tells whether both [server] and its availability zone are in service; an unpublished zone is out of service. */
+    /** Returns whether [server] and its availability zone are in service; an unpublished zone is out of service. */
     fun mayReceiveWork(server: BackendServerRecord): Boolean = server.inService && zone(server.zone)?.inService == true
 
     /** Returns a copy at [revision] in which [record] replaces its older version. */
--- a/decision/src/main/kotlin/io/kumquattrail/decision/warning/BurnRateSettings.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/warning/BurnRateSettings.kt
@@ -7,12 +7,13 @@
  * Holds the settings of [BurnRateWarnings].
  *
  * @property shortWindow window that shows that a service level is missed now.
- * @property longWindow window that shows that it is missed for long enough to matter.
+ * @property longWindow window that shows that it is missed for long enough to require an action.
  * @property shortBurnRate error rate over the short window, as a multiple of what the objective allows.
  * @property longBurnRate error rate over the long window, as a multiple of what the objective allows.
- * @property leastBadRequests missed requests in the short window below which a process draws no conclusion.
- * @property corroboratingShare share of the processes that have to see the same, and at least two where there are three.
- * @property longestGrace longest time for which an automatic action holds a warning back.
+ * @property leastBadRequests missed requests in the short window below which a process does not raise a warning.
+ * @property corroboratingShare share of the processes that must see the same condition; at least two in a
+ *   fleet of three or more.
+ * @property longestGrace longest time for which an automatic action delays a warning.
  * @property clearAfter time for which the service level is met before its warning clears.
  * @property validity time for which a peer's report counts.
  * @property raiseStep time for which the next process waits for the announcement of the one before it, longer than
--- a/decision/src/main/kotlin/io/kumquattrail/decision/warning/BurnRateWarnings.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/warning/BurnRateWarnings.kt
@@ -123,7 +123,7 @@
 
     private fun isActive(id: WarningId): Boolean = id in raised || id in heard
 
-    /** One process that sees failures alone may itself be the fault, and the fleet routes around it. */
+    /** A single process that sees failures may itself be faulty, and callers use the others. */
     private fun isCorroborated(
         id: WarningId,
         level: Level,
--- a/decision/src/main/kotlin/io/kumquattrail/decision/warning/WarningAction.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/warning/WarningAction.kt
@@ -1,6 +1,6 @@
 package io.kumquattrail.decision.warning
 
-/** Says what a process tells operators. */
+/** A message of a process to operators. */
 sealed interface WarningAction {
     /** Raises [warning], which no process that this one has heard of has raised. */
     data class Raise(
--- a/standin/src/main/kotlin/io/kumquattrail/standin/engine/ModelEngine.kt
+++ b/standin/src/main/kotlin/io/kumquattrail/standin/engine/ModelEngine.kt
@@ -12,13 +12,13 @@
 import java.util.concurrent.atomic.AtomicLong
 
 /**
- * Describes how fast a [ModelEngine] is and what it bears.
+ * Performance and limits of a [ModelEngine].
  *
  * @property firstTokenMilliseconds time to the first token of a request.
  * @property tokenMilliseconds time between tokens while one request runs.
  * @property slowdownPerRequest relative growth of the token time for each further running request.
  * @property coldRequests completed requests after which a cold engine is warm.
- * @property coldBound running requests at which a cold engine falls over.
+ * @property coldBound running requests at which a cold engine crashes.
  */
 data class EngineProfile(
     val firstTokenMilliseconds: Long = 10,
@@ -32,7 +32,7 @@
  * Stands in for a model engine.
  *
  * It streams or answers whole completions whose tokens follow from the prompt alone, so that any engine continues what
- * another began (`X-Resume-After-Tokens`). `GET /status` tells its incarnation and running requests. A prompt that
+ * another began (`X-Resume-After-Tokens`). `GET /status` returns its incarnation and running requests. A prompt that
  * contains [CRASH_MARKER] crashes it; while cold it also crashes above the bound of its profile.
  */
 class ModelEngine(
@@ -53,7 +53,7 @@
     /** Number of crashes so far. */
     val crashCount: Int get() = crashes.get()
 
-    /** Number of crashes because a cold engine got more than it bears. */
+    /** Number of crashes because a cold engine received more requests than it supports. */
     val coldOverloads: Int get() = overloads.get()
 
     /** Number of requests received so far. */
@@ -71,7 +71,7 @@
         incarnation = UUID.randomUUID().toString()
     }
 
-    /** Turns cold without dropping requests or changing the incarnation. */
+    /** Resets the engine to cold start without dropping requests or changing the incarnation. */
     fun turnCold() {
         completed.set(0)
     }
--- a/standin/src/main/kotlin/io/kumquattrail/standin/ledger/LedgerService.kt
+++ b/standin/src/main/kotlin/io/kumquattrail/standin/ledger/LedgerService.kt
@@ -25,7 +25,7 @@
 /**
  * Stands in for one server of a plain service whose postings may not be repeated.
  *
- * `POST /postings` applies the posting named by the body's `reference`; `GET /postings/{reference}` tells how often.
+ * `POST /postings` applies the posting named by the body's `reference`; `GET /postings/{reference}` returns how often.
  * The server does not remove duplicates itself.
  */
 class LedgerService(
--- a/standin/src/main/kotlin/io/kumquattrail/standin/records/PublishedRecordsService.kt
+++ b/standin/src/main/kotlin/io/kumquattrail/standin/records/PublishedRecordsService.kt
@@ -32,7 +32,7 @@
     @Volatile
     var down: Boolean = false
 
-    /** Shows nothing above this revision, as a stale replica does, while not `null`. */
+    /** Hides records above this revision, as a stale replica does, unless it is `null`. */
     @Volatile
     var staleAt: Long? = null
 
