Count the probes of a test before the connections that they opened

The number of connections was read before the log, and the server had not accepted the last probe yet. The test compares the same numbers, and reads the log, which takes 100 ms, first.

--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/ResponseWithoutLengthSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/ResponseWithoutLengthSpec.kt
@@ -64,7 +64,9 @@
                         eventIds(text) shouldContainExactly listOf("1", "2")
                         text shouldEndWith LAST_CHUNK
                     }
-                    server.connections.size shouldBe 2 + probes(fixture)
+                    // Reading the log takes long enough for the server to accept the last probe.
+                    val probes = probes(fixture)
+                    server.connections.size shouldBe 2 + probes
                 }
             }
 
