Simplify the clearing of prompt parts and the withdrawal of attempts

PromptPartGuard cleared the parts of a call in two places, and filtered the answered calls in two; both are one function now. ServerAttempt kept the reason of a withdrawal and used it as a flag only. No change of behaviour.

--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/PromptPartGuard.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/PromptPartGuard.kt
@@ -62,7 +62,7 @@
         timeSinceSent: Duration,
     ): Boolean {
         if (call.hasAnswerBegun) return false
-        val answered = calls.filter { it.hasAnswerBegun }.flatMapTo(HashSet()) { it.sharedPromptParts }
+        val answered = answeredCalls().flatMapTo(HashSet()) { it.sharedPromptParts }
         val recorded =
             trials
                 .candidates(call.sharedPromptParts, answered, crash)
@@ -84,12 +84,12 @@
     fun onAnswerBegun(call: Call) {
         if (!ledger.hasSuspects) return
         trials.end(call)
-        call.sharedPromptParts.forEach { clear(it, call) }
+        clearParts(call)
     }
 
     /** Clears the parts that other processes suspect and that occur in answers that this process is passing on. */
     private fun onReports() {
-        calls.filter { it.hasAnswerBegun }.forEach { call -> call.sharedPromptParts.forEach { clear(it, call) } }
+        answeredCalls().forEach(::clearParts)
         withdrawFatal()
     }
 
@@ -108,12 +108,13 @@
             }
     }
 
-    private fun clear(
-        part: PromptPart,
-        call: Call,
-    ) {
-        val cleared = ledger.recordCompletion(part, ProcessClock.monotonic())
-        if (cleared.isEmpty()) return
-        state.log.log("prompt_part_cleared", "id" to call.requestId, "part" to part, "ends" to cleared.size)
-    }
+    private fun answeredCalls(): List<Call> = calls.filter { it.hasAnswerBegun }
+
+    private fun clearParts(call: Call) =
+        call.sharedPromptParts.forEach { part ->
+            val cleared = ledger.recordCompletion(part, ProcessClock.monotonic())
+            if (cleared.isNotEmpty()) {
+                state.log.log("prompt_part_cleared", "id" to call.requestId, "part" to part, "ends" to cleared.size)
+            }
+        }
 }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/ServerAttempt.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/ServerAttempt.kt
@@ -71,12 +71,13 @@
     private var sentAt: MonotonicTime? = null
     private var hasResponded = false
 
-    private var withdrawalReason: String? = null
+    private var isWithdrawn = false
     private var firstBodyAt: MonotonicTime? = null
 
     /**
-     * Whether the connection ended, not closed by the gateway, in the way that it does when a request crashes its server. A server that has been sending the response body for [CRASH_ATTRIBUTION_TIME] is assumed not to crash
-     * because of the request.
+     * Whether the connection ended, not closed by the gateway, in the way that it does when a request crashes its server.
+     * A server that has been sending the response body for [CRASH_ATTRIBUTION_TIME] is assumed not to crash because of
+     * the request.
      */
     var mayHaveCrashedServer = false
         private set
@@ -96,7 +97,7 @@
             pool.acquire(address, connectTimeout = minOf(CONNECT_TIMEOUT, responseTimeout), maximumIdle = maximumIdle)
                 ?: return AttemptStart.NotSent("no connection to $address")
         connection = opened
-        if (withdrawalReason != null) return AttemptStart.NotSent("withdrawn before it was sent")
+        if (isWithdrawn) return AttemptStart.NotSent("withdrawn before it was sent")
         sentAt = ProcessClock.monotonic()
         val received = opened.send(message, requestId)
         parts = received
@@ -143,8 +144,8 @@
 
     /** Stops waiting for the response because of [reason]; closing the connection tells the server to stop, too. */
     fun withdraw(reason: String) {
-        if (withdrawalReason != null) return
-        withdrawalReason = reason
+        if (isWithdrawn) return
+        isWithdrawn = true
         connection?.withdraw(reason)
     }
 
