--- a/review/harness/review/Runner.java
+++ b/review/harness/review/Runner.java
@@ -51,6 +51,12 @@
                 + "\",\"cold_remaining_ms\":0,\"seq_no\":1,\"born\":1764900000000}";
     }
 
+    /** Ends the runner: it closes its listener and all connections, also those with a request in progress. */
+    void exit() {
+        server.stop(0);
+        record.write(id + " exits");
+    }
+
     synchronized List<Run> runs() {
         return new ArrayList<>(runs);
     }
