--- a/review/harness/review/Client.java
+++ b/review/harness/review/Client.java
@@ -15,13 +15,11 @@
         final int status;
         final int bytes;
         final String detail;
-        final boolean keptConnection;
 
-        Answer(int status, int bytes, String detail, boolean keptConnection) {
+        Answer(int status, int bytes, String detail) {
             this.status = status;
             this.bytes = bytes;
             this.detail = detail;
-            this.keptConnection = keptConnection;
         }
     }
 
@@ -31,33 +29,24 @@
     private final Record record;
     private final String name;
     private final int port;
-    private final int bytesPerSecond;
     private Socket socket;
     private InputStream input;
-    private int requestsOnConnection;
 
-    /** @param bytesPerSecond rate of the client's link for bodies, both ways; 0 for as fast as possible. */
-    Client(Record record, String name, int port, int bytesPerSecond) {
+    Client(Record record, String name, int port) {
         this.record = record;
         this.name = name;
         this.port = port;
-        this.bytesPerSecond = bytesPerSecond;
-    }
-
-    Client(Record record, String name, int port) {
-        this(record, name, port, 0);
     }
 
     /** Sends one request and returns its answer; writes both to the record. */
     Answer send(String method, String path, String requestId, String key, byte[] body, int deadlineMilliseconds) {
         record.write("sent: " + requestId + " by " + name + ", " + method + " " + path + ", key " + key);
-        boolean kept = socket != null && requestsOnConnection > 0;
         Answer answer;
         try {
-            answer = exchange(method, path, requestId, key, body, deadlineMilliseconds, kept);
+            answer = exchange(method, path, requestId, key, body, deadlineMilliseconds);
         } catch (IOException failure) {
             close();
-            answer = new Answer(0, 0, failure.getClass().getSimpleName() + ": " + failure.getMessage(), kept);
+            answer = new Answer(0, 0, failure.getClass().getSimpleName() + ": " + failure.getMessage());
         }
         record.write("answered: " + requestId + " " + (answer.status == 0 ? "no complete answer" : answer.status)
                 + ", " + answer.bytes + " bytes" + (answer.detail.isEmpty() ? "" : ", " + answer.detail));
@@ -75,17 +64,15 @@
     }
 
     private Answer exchange(
-            String method, String path, String requestId, String key, byte[] body, int deadline, boolean kept)
+            String method, String path, String requestId, String key, byte[] body, int deadline)
             throws IOException {
         if (socket == null) {
             socket = new Socket();
             socket.setTcpNoDelay(true);
             socket.connect(new InetSocketAddress("127.0.0.1", port), CONNECT_TIMEOUT_MILLISECONDS);
             input = new BufferedInputStream(socket.getInputStream());
-            requestsOnConnection = 0;
         }
         socket.setSoTimeout(deadline);
-        requestsOnConnection += 1;
         StringBuilder head = new StringBuilder();
         head.append(method).append(' ').append(path).append(" HTTP/1.1\r\nHost: app.example\r\n");
         head.append("X-Request-Id: ").append(requestId).append("\r\n");
@@ -94,28 +81,12 @@
         if (body.length > 0 || method.equals("POST")) head.append("Content-Length: ").append(body.length).append("\r\n");
         head.append("\r\n");
         socket.getOutputStream().write(head.toString().getBytes(StandardCharsets.ISO_8859_1));
-        sendBody(body);
+        socket.getOutputStream().write(body);
         socket.getOutputStream().flush();
-        return read(kept);
-    }
-
-    private void sendBody(byte[] body) throws IOException {
-        long startedAt = System.nanoTime();
-        for (int sent = 0; sent < body.length; ) {
-            int count = Math.min(BLOCK_BYTES, body.length - sent);
-            socket.getOutputStream().write(body, sent, count);
-            sent += count;
-            waitForLink(sent, startedAt);
-        }
-    }
-
-    /** Waits until [bytes] have passed the client's link since [startedAt]. */
-    private void waitForLink(int bytes, long startedAt) {
-        if (bytesPerSecond == 0) return;
-        Threads.sleep(bytes * 1_000L / bytesPerSecond - (System.nanoTime() - startedAt) / 1_000_000);
+        return read();
     }
 
-    private Answer read(boolean kept) throws IOException {
+    private Answer read() throws IOException {
         String statusLine = line();
         int status = Integer.parseInt(statusLine.split(" ")[1]);
         int length = 0;
@@ -129,18 +100,16 @@
         }
         byte[] buffer = new byte[BLOCK_BYTES];
         int received = 0;
-        long startedAt = System.nanoTime();
         while (received < length) {
             int count = input.read(buffer, 0, Math.min(buffer.length, length - received));
             if (count < 0) {
                 close();
-                return new Answer(0, received, "connection ended after " + received + " of " + length + " bytes", kept);
+                return new Answer(0, received, "connection ended after " + received + " of " + length + " bytes");
             }
             received += count;
-            waitForLink(received, startedAt);
         }
         if (close) close();
-        return new Answer(status, received, "", kept);
+        return new Answer(status, received, "");
     }
 
     private String line() throws IOException {
--- a/review/harness/review/CutWatches.java
+++ b/review/harness/review/CutWatches.java
@@ -23,7 +23,7 @@
 
     private static boolean run(Deployment deployment) throws Exception {
         deployment.store.put("op/config", Configurations.of(7, "ledger-app", "[\"" + KEY + "\"]", 800));
-        for (int index = 1; index <= 3; index++) deployment.addRunner("i-app" + index, "ledger-app", WORK_MILLISECONDS, 0);
+        for (int index = 1; index <= 3; index++) deployment.addRunner("i-app" + index, "ledger-app", WORK_MILLISECONDS);
         deployment.startGateways(3);
         Threads.sleep(4_000);
 
--- a/review/harness/review/Deployment.java
+++ b/review/harness/review/Deployment.java
@@ -61,8 +61,8 @@
         System.exit(code);
     }
 
-    Runner addRunner(String id, String service, long workMilliseconds, int bodyBytes) throws IOException {
-        Runner runner = new Runner(record, id, service, workMilliseconds, bodyBytes);
+    Runner addRunner(String id, String service, long workMilliseconds) throws IOException {
+        Runner runner = new Runner(record, id, service, workMilliseconds);
         runners.add(runner);
         store.put("servers/" + id, runner.registration("ready"));
         return runner;
--- a/review/harness/review/ForeignEntry.java
+++ b/review/harness/review/ForeignEntry.java
@@ -23,8 +23,8 @@
     private static boolean run(Deployment deployment) throws Exception {
         String keys = "[\"" + KEY + "\"]";
         deployment.store.put("op/config", Configurations.of(7, "ledger-app", keys, 800));
-        for (int index = 1; index <= 3; index++) deployment.addRunner("i-old" + index, "ledger-app", 20, 0);
-        for (int index = 1; index <= 3; index++) deployment.addRunner("i-new" + index, "ledger-new", 20, 0);
+        for (int index = 1; index <= 3; index++) deployment.addRunner("i-old" + index, "ledger-app", 20);
+        for (int index = 1; index <= 3; index++) deployment.addRunner("i-new" + index, "ledger-new", 20);
         deployment.startGateways(3);
         int servedBefore = sendRound(deployment, KEY);
         deployment.record.announce("served before: " + servedBefore + " of 3");
--- a/review/harness/review/LastKeyWithdrawn.java
+++ b/review/harness/review/LastKeyWithdrawn.java
@@ -17,7 +17,7 @@
     private static boolean run(Deployment deployment) throws Exception {
         String bothKeys = "[\"" + FIRST_KEY + "\",\"" + SECOND_KEY + "\"]";
         deployment.store.put("op/config", Configurations.of(7, "ledger-app", bothKeys, 800));
-        for (int index = 1; index <= 3; index++) deployment.addRunner("i-app" + index, "ledger-app", 20, 0);
+        for (int index = 1; index <= 3; index++) deployment.addRunner("i-app" + index, "ledger-app", 20);
         deployment.startGateways(3);
         int before = send(deployment, FIRST_KEY) + send(deployment, SECOND_KEY);
         deployment.record.announce("run with both keys before: " + before + " of 6");
--- a/review/harness/review/Runner.java
+++ b/review/harness/review/Runner.java
@@ -29,15 +29,13 @@
     private final HttpServer server;
     private final Record record;
     private final long workMilliseconds;
-    private final int bodyBytes;
     private final List<Run> runs = new ArrayList<>();
 
-    Runner(Record record, String id, String service, long workMilliseconds, int bodyBytes) throws IOException {
+    Runner(Record record, String id, String service, long workMilliseconds) throws IOException {
         this.record = record;
         this.id = id;
         this.service = service;
         this.workMilliseconds = workMilliseconds;
-        this.bodyBytes = bodyBytes;
         server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 256);
         server.setExecutor(Executors.newCachedThreadPool(Threads.daemons(id)));
         server.createContext("/", this::handle);
@@ -83,7 +81,7 @@
         }
         record.write("run: " + requestId + " by " + id + " of " + service + ", tenant " + tenant);
         Threads.sleep(workMilliseconds);
-        byte[] body = bodyBytes > 0 ? new byte[bodyBytes] : ("answer to " + requestId).getBytes(StandardCharsets.UTF_8);
+        byte[] body = ("answer to " + requestId).getBytes(StandardCharsets.UTF_8);
         exchange.getResponseHeaders().set("X-Server-Stamp", id + "." + requestId);
         exchange.sendResponseHeaders(200, body.length);
         exchange.getResponseBody().write(body);
--- a/review/harness/review/Store.java
+++ b/review/harness/review/Store.java
@@ -23,7 +23,6 @@
     private final List<Event> events = new ArrayList<>();
     private long revision = 400;
     private int cuts;
-    private int lists;
 
     private static final class Event {
         final long revision;
@@ -81,11 +80,6 @@
         notifyAll();
     }
 
-    /** Returns the number of lists of registrations that have been answered. */
-    synchronized int listsOfServers() {
-        return lists;
-    }
-
     private void range(HttpExchange exchange) throws IOException {
         Map<String, String> query = query(exchange);
         String prefix = query.getOrDefault("prefix", "");
@@ -108,9 +102,6 @@
             body.append("],\"has_more\":").append(more).append(",\"at\":").append(revision).append('}');
         }
         answer(exchange, 200, body.toString());
-        synchronized (this) {
-            if (prefix.startsWith("servers/")) lists += 1;
-        }
     }
 
     private void watch(HttpExchange exchange) throws IOException {
