Parse JSON of other programs without exceptions

No later configuration took effect, requests with keys were refused for good, and no gateway could start.

Cause: the entry begins with zeros, which look like UTF-32. Jackson throws CharConversionException for it, an IOException that is no JacksonException, and the decoders caught the latter only. The exception ended the coroutine that follows the store.

--- a/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerMessage.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerMessage.kt
@@ -1,6 +1,5 @@
 package io.kumquattrail.forward.peer
 
-import com.fasterxml.jackson.core.JacksonException
 import com.fasterxml.jackson.databind.JsonNode
 import com.fasterxml.jackson.databind.json.JsonMapper
 import com.fasterxml.jackson.databind.node.ArrayNode
@@ -12,6 +11,7 @@
 import io.kumquattrail.decision.suspect.PromptPart
 import io.kumquattrail.decision.suspect.RequestFingerprint
 import io.kumquattrail.decision.suspect.ServerCrash
+import io.kumquattrail.forward.json.JsonDocument
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -103,13 +103,7 @@
 
         /** Decodes a message that [encode] has written; returns `null` when [bytes] are not a valid message. */
         fun decode(bytes: ByteArray): PeerMessage? {
-            val root: JsonNode =
-                try {
-                    MAPPER.readTree(bytes) ?: return null
-                } catch (_: JacksonException) {
-                    // The caller of this function logs the peer and the size; the bytes are not worth logging.
-                    return null
-                }
+            val root = JsonDocument.parse(bytes).rootOrNull ?: return null
             val process = root.path("process").takeIf { it.isTextual }?.asText() ?: return null
             return PeerMessage(
                 process = ProcessName(process),
