Start failed background tasks again

An exception in the reading of the store, the exchange with peers, the management of expert maps or the housekeeping ended that work for the rest of the process, while the process stayed ready.

--- a/forward/src/main/kotlin/io/kumquattrail/forward/expert/ExpertMapManager.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/expert/ExpertMapManager.kt
@@ -19,6 +19,7 @@
 import io.kumquattrail.decision.time.MonotonicTime
 import io.kumquattrail.forward.process.GatewayState
 import io.kumquattrail.forward.process.ProcessClock
+import io.kumquattrail.forward.process.launchBackgroundTask
 import kotlinx.collections.immutable.toImmutableList
 import kotlinx.collections.immutable.toImmutableSet
 import kotlinx.coroutines.CoroutineScope
@@ -70,7 +71,7 @@
 
     /** Maintains the expert maps until [scope] is cancelled. */
     fun start(scope: CoroutineScope) {
-        scope.launch {
+        scope.launchBackgroundTask("expert_maps", state.log) {
             while (true) {
                 delay(PACE_CHECK_INTERVAL)
                 if (updateLeadership()) services().forEach { (service, figures) -> maintain(scope, service, figures) }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerExchange.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerExchange.kt
@@ -13,6 +13,7 @@
 import io.kumquattrail.forward.http.NetworkAddress
 import io.kumquattrail.forward.process.GatewayState
 import io.kumquattrail.forward.process.ProcessClock
+import io.kumquattrail.forward.process.launchBackgroundTask
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
@@ -56,7 +57,7 @@
 
     /** Starts periodic exchanges with peers, which go on until [scope] is cancelled. */
     fun start(scope: CoroutineScope) {
-        scope.launch {
+        scope.launchBackgroundTask("peer_exchange", state.log) {
             val exchanges = exchangeRound(scope)
             withTimeoutOrNull(FIRST_ROUND_TIMEOUT) { exchanges.joinAll() }
             state.peersAsked = true
--- a/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
@@ -155,7 +155,7 @@
         val manager = ExpertMapManager(state, control, peers = { peers.mapLeaderCandidates(ProcessClock.monotonic()) })
         manager.start(scope)
         expertMapManager = manager
-        scope.launch { housekeeping() }
+        scope.launchBackgroundTask("housekeeping", log) { housekeeping() }
         log.log("started", "process" to settings.process, "zone" to settings.zone, "callers" to settings.callerAddress)
     }
 
