Check the ranks of a group without memory for its reported size

One server that reports a group of two billion ranks made the survey allocate a list of that length (an OutOfMemoryError in the event loop). The survey now compares the ranks that it has.

GroupFormationSpec, "a rank that reports an excessive size of its group": before, OutOfMemoryError: Java heap space.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/GroupFormation.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/GroupFormation.kt
@@ -39,7 +39,7 @@
                 group = group,
                 epoch = epoch,
                 ranks = ranks.toImmutableList(),
-                isComplete = size > 0 && ranks.map { it.rank } == (0 until size).toList(),
+                isComplete = ranks.isNotEmpty() && ranks.size == size && ranks.indices.all { ranks[it].rank == it },
             )
         }
     }
--- a/decision/src/test/kotlin/io/kumquattrail/decision/expert/replica/GroupFormationSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/expert/replica/GroupFormationSpec.kt
@@ -12,12 +12,13 @@
     rank: Int,
     epoch: Long = 1,
     isOpen: Boolean = true,
+    size: Int = 2,
 ) = RankState(
     server = ServerName("$group-$rank-$epoch"),
     group = GroupName(group),
     epoch = epoch,
     rank = rank,
-    size = 2,
+    size = size,
     isOpen = isOpen,
     pass = 6,
     mapVersion = 0,
@@ -46,6 +47,14 @@
             }
         }
 
+        describe("a rank that reports an excessive size of its group") {
+            // The size comes from the server; memory in proportion to it would end the process.
+            it("makes its group incomplete and leaves the other groups complete") {
+                val states = listOf(state("a", 0, size = Int.MAX_VALUE), state("b", 0), state("b", 1))
+                completeGroups(states) shouldContainExactly listOf("b")
+            }
+        }
+
         describe("a group with a new formation") {
             it("a group is incomplete if one of its ranks still reports the previous formation") {
                 val states = listOf(state("a", 0, epoch = 2), state("a", 0), state("a", 1))
