Manage the other groups beside a rank with an impossible list of experts

A rank whose list of experts lacks layer sets, or names experts that do not exist, raised an exception in the survey of its service. As the survey covers all servers that belong to no known group, no group of the service was ever managed again. Such a group is now left out and logged as rank_holdings_unusable.

ExpertMapManagerSpec, "a rank whose list of experts is unusable", three cases: before "expected:<[g1]> but was:<[]>" in each.

--- a/forward/src/main/kotlin/io/kumquattrail/forward/expert/ExpertMapManager.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/expert/ExpertMapManager.kt
@@ -248,6 +248,10 @@
         val members = formation.ranks.mapNotNull { byName[it.server] }
         val holdings = coroutineScope { members.map { async { control.holdings(it) } }.awaitAll() }.filterNotNull()
         if (holdings.size != formation.ranks.size || holdings.distinctBy { it.mapVersion }.size != 1) return
+        if (!holdings.all { it.isPossible(figures) }) {
+            state.log.log("rank_holdings_unusable", "service" to key.service, "group" to formation.group)
+            return
+        }
         val map =
             ReplicaMap(
                 (0 until figures.layerSets)
--- a/forward/src/main/kotlin/io/kumquattrail/forward/expert/RankControl.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/expert/RankControl.kt
@@ -14,12 +14,16 @@
  * @property preparedVersion version of the map whose experts the rank has copied completely; `null` for none.
  * @property experts experts that the rank holds, by layer set.
  */
-class RankHoldings(
+data class RankHoldings(
     val epoch: Long,
     val mapVersion: Long,
     val preparedVersion: Long?,
     val experts: List<Set<Int>>,
-)
+) {
+    /** Returns whether the experts are a possible placement in a group with these [figures]. */
+    fun isPossible(figures: EngineGroupFigures): Boolean =
+        experts.size == figures.layerSets && experts.all { set -> set.all { it in 0 until figures.experts } }
+}
 
 /**
  * Reads the state of the ranks of groups and sends them orders.
--- a/forward/src/test/kotlin/io/kumquattrail/forward/expert/ExpertMapManagerSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/expert/ExpertMapManagerSpec.kt
@@ -137,7 +137,7 @@
 }
 
 /** Groups whose second rank has all the load. The servers in [unresponsive] return no counts. */
-private class UnevenGroups(
+private open class UnevenGroups(
     private val unresponsive: Set<String> = emptySet(),
 ) : TwoRankGroups() {
     private val choiceCounts = HashMap<String, LongArray>()
@@ -254,6 +254,29 @@
             }
         }
 
+        describe("a rank whose list of experts is unusable") {
+            listOf(
+                "lacks layer sets" to emptyList(),
+                "names experts that do not exist" to listOf(setOf(0, 99)),
+                "names negative experts" to listOf(setOf(-1, 2)),
+            ).forEach { (description, experts) ->
+                // An exception for one group would end the survey, so that no group of the service is managed.
+                it("the map leader still manages the other groups of the service if the list $description") {
+                    val control =
+                        object : UnevenGroups() {
+                            override suspend fun holdings(server: BackendServer): RankHoldings {
+                                val holdings = super.holdings(server)
+                                return if (server.port == 0) holdings.copy(experts = experts) else holdings
+                            }
+                        }
+                    maintainMaps(control, gatewayState(serverCount = 4), slowPauses("s1", "s3")) {
+                        GroupName("g1") in control.prepared
+                    }
+                    control.prepared shouldBe setOf(GroupName("g1"))
+                }
+            }
+        }
+
         describe("a group that was left held by a stopped gateway") {
             it("the next map leader releases a held group that the survey finds, even without requests in progress") {
                 val control = HeldGroup()
