Keep asking for keys once the last one is withdrawn

Cause: an empty map from keys to organisations stood for "callers need no key" as well as for "no key is left"; AccessPolicy took it for the first.

Fix: RoutingConfiguration.requiresKeys holds the difference.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/route/AccessPolicy.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/route/AccessPolicy.kt
@@ -43,7 +43,7 @@
         key: String?,
     ): AccessDecision {
         val route = configuration.routeTable.find(host = host, path = path) ?: return AccessDecision.NoRoute
-        if (route.anonymous || configuration.organisations.isEmpty()) {
+        if (route.anonymous || !configuration.requiresKeys) {
             return AccessDecision.Allowed(route = route, organisation = null)
         }
         val organisation = key?.let { configuration.organisations[it] } ?: return AccessDecision.UnknownKey
--- a/decision/src/main/kotlin/io/kumquattrail/decision/route/RoutingConfiguration.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/route/RoutingConfiguration.kt
@@ -11,13 +11,16 @@
  * One version of all that operators publish for forwarding.
  *
  * @property version number that operators give the configuration; a higher one replaces a lower one.
- * @property organisations organisation to which each caller key belongs; empty when callers need no key.
+ * @property organisations organisation to which each caller key belongs.
+ * @property requiresKeys whether callers need a key on routes that are not anonymous. They still do when the last key has
+ *   been withdrawn, so that [organisations] is empty.
  */
 data class RoutingConfiguration(
     val version: Long,
     val routes: ImmutableList<Route>,
     val services: ImmutableMap<ServiceName, ServiceDefinition>,
     val organisations: ImmutableMap<String, Organisation> = persistentMapOf(),
+    val requiresKeys: Boolean = organisations.isNotEmpty(),
     val callerLimits: CallerLimits = CallerLimits(),
 ) {
     /** Looks up routes by host and path. */
--- a/forward/src/main/kotlin/io/kumquattrail/forward/json/JsonDocument.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/json/JsonDocument.kt
@@ -29,7 +29,12 @@
                 if (root == null || root.isMissingNode) Unreadable("empty document") else Parsed(root)
             } catch (failure: IOException) {
                 // Not only JacksonException: bytes that look like UTF-32 give a CharConversionException.
-                Unreadable(failure.message.orEmpty().lineSequence().first())
+                Unreadable(
+                    failure.message
+                        .orEmpty()
+                        .lineSequence()
+                        .first(),
+                )
             }
     }
 }
