Remove servers in time while the store cuts watches

Cause: every failed call, also one cut watch, counted as an outage of the store, after which missing servers stay in use for 2 s; and each further one moved that time on.

Fix: an outage counts from 1 s on, measured from the failure, or from the start of a call that got no answer. A missing server is removed at the end of the grace period in which it was first missed.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/catalogue/ServerCatalogue.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/catalogue/ServerCatalogue.kt
@@ -16,16 +16,18 @@
  *
  * Registrations lapse while the registry is unreachable, although the servers are running. The servers register again
  * shortly after the registry has returned. A registration that is missing right after an outage is therefore kept for
- * [lapseGrace] and removed if it is still missing then.
+ * [lapseGrace] and removed if it is still missing then, also if another outage has ended meanwhile.
  *
  * The registry may also be restored from a copy that is some seconds old. Its list then shows servers that have left as
  * registered and draining ones as ready, and lacks servers that have registered since. An entry that was received at a
  * higher revision therefore overrides the list, and a server that is missing from the list is kept for [rewriteGrace].
  *
+ * @property shortestOutage shortest outage in which registrations lapse; they do after several missed renewals.
  * @property lapseGrace time after an outage within which running servers register again.
  * @property rewriteGrace time after the restoration of an older copy within which running servers register again.
  */
 class ServerCatalogue(
+    private val shortestOutage: Duration = 1.seconds,
     private val lapseGrace: Duration = 2.seconds,
     private val rewriteGrace: Duration = 3.seconds,
 ) {
@@ -45,9 +47,12 @@
     /** Zones whose servers get no requests. */
     val evacuatedZones: Set<ZoneName> get() = evacuated
 
-    /** Records that the registry responds again after an outage. */
-    fun onRegistryReturn(now: MonotonicTime) {
-        lapseGraceEnds = now + lapseGrace
+    /** Records that the registry responds again after an [outage] of this length. */
+    fun onRegistryReturn(
+        now: MonotonicTime,
+        outage: Duration,
+    ) {
+        if (outage >= shortestOutage) lapseGraceEnds = now + lapseGrace
     }
 
     /** Adds or updates one registration. Returns the change, or `null` if there is none. */
@@ -75,9 +80,12 @@
     ): CatalogueChange? {
         val server = registered[name] ?: return null
         if (now < lapseGraceEnds && !server.draining) {
-            if (name in lapsed) return null
-            lapsed[name] = lapseGraceEnds
-            return CatalogueChange.Lapsed(server)
+            val removedFrom = lapsed[name]
+            if (removedFrom == null) {
+                lapsed[name] = lapseGraceEnds
+                return CatalogueChange.Lapsed(server)
+            }
+            if (now < removedFrom) return null
         }
         registered.remove(name)
         lapsed.remove(name)
--- a/decision/src/test/kotlin/io/kumquattrail/decision/catalogue/ServerCatalogueSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/catalogue/ServerCatalogueSpec.kt
@@ -97,7 +97,7 @@
         describe("after an outage of the registry") {
             it("a running server whose registration lapsed stays in use until it has registered again") {
                 val catalogue = catalogue()
-                catalogue.onRegistryReturn(start + 10.seconds)
+                catalogue.onRegistryReturn(start + 10.seconds, outage = 5.seconds)
                 catalogue.replaceList(emptyList(), start + 10.seconds)
                 catalogue.usableNames() shouldContainExactly listOf("s1", "s2")
                 catalogue.recordRegistration(server("s1"))
@@ -106,10 +106,30 @@
                 catalogue.usableNames() shouldContainExactly listOf("s1")
             }
 
+            // Otherwise, outages that follow each other more closely than the grace period keep it in use for ever.
+            it("a missing server is removed when its grace period ends, also if further outages have ended meanwhile") {
+                val catalogue = catalogue()
+                (0..4).forEach { second ->
+                    val now = start + second.seconds
+                    catalogue.onRegistryReturn(now, outage = 1.seconds)
+                    catalogue.replaceList(listOf(server("s2", zone = "b")), now)
+                    catalogue.expireLapsed(now)
+                    catalogue.usableNames() shouldContainExactly (if (second < 2) listOf("s1", "s2") else listOf("s2"))
+                }
+            }
+
+            // A registration cannot lapse between two reads, so a missing one shows that the server is leaving.
+            it("a missing server is removed at once after a failed read that was no outage") {
+                val catalogue = catalogue()
+                catalogue.onRegistryReturn(start, outage = 300.milliseconds)
+                catalogue.replaceList(listOf(server("s2", zone = "b")), start)
+                catalogue.usableNames() shouldContainExactly listOf("s2")
+            }
+
             it("a draining server whose registration is missing is removed at once") {
                 val catalogue = catalogue()
                 catalogue.recordRegistration(server("s1", draining = true))
-                catalogue.onRegistryReturn(start)
+                catalogue.onRegistryReturn(start, outage = 5.seconds)
                 catalogue.recordRemoval(ServerName("s1"), start + 10.milliseconds)
                 catalogue.servers.map { it.name.value } shouldBe listOf("s2")
             }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/http/HttpCaller.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/http/HttpCaller.kt
@@ -10,9 +10,10 @@
         val reply: HttpReply,
     ) : CallResult
 
-    /** No complete response was received. */
+    /** No complete response was received, or none in time if [timedOut]. */
     data class Failed(
         val reason: String,
+        val timedOut: Boolean = false,
     ) : CallResult
 }
 
@@ -46,7 +47,7 @@
                 acquired = connection
                 message.headers.set("Host", address.toString())
                 receive(connection.send(message, requestId = null)).also { completed = it is CallResult.Answered }
-            } ?: CallResult.Failed("no answer within $timeout")
+            } ?: CallResult.Failed("no answer within $timeout", timedOut = true)
         } finally {
             acquired?.let { if (completed && !onNewConnection) pool.release(address, it) else it.close() }
         }
