Let reported departures expire

Its peers reported it back with a new time, so two processes kept each departure for ever, and every message between gateways named all servers that had ever left. Messages now carry the age of a departure in a field of their own, which earlier builds ignore; departures without it count as new.

ServerCatalogueSpec, "two processes that report departures to each other": before, "expected:<{}> but was:<{s1=1}>" after two minutes.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/catalogue/ServerCatalogue.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/catalogue/ServerCatalogue.kt
@@ -33,7 +33,7 @@
 ) {
     private val registered = HashMap<ServerName, BackendServer>()
     private val lapsed = HashMap<ServerName, MonotonicTime>()
-    private val departed = HashMap<ServerName, Departure>()
+    private val departed = HashMap<ServerName, RecordedDeparture>()
     private var lapseGraceEnds = MonotonicTime(Long.MIN_VALUE)
     private var evacuated: Set<ZoneName> = emptySet()
     private var byService: Map<ServiceName, List<BackendServer>> = emptyMap()
@@ -41,12 +41,15 @@
     /** All registered servers, also those that get no requests. */
     val servers: Collection<BackendServer> get() = registered.values
 
-    /** Revision at which each server that has left recently did so. */
-    val departures: Map<ServerName, Long> get() = departed.mapValues { it.value.revision }
-
     /** Zones whose servers get no requests. */
     val evacuatedZones: Set<ZoneName> get() = evacuated
 
+    /** Returns the servers that have left recently. */
+    fun departures(now: MonotonicTime): Map<ServerName, Departure> {
+        expireDepartures(now)
+        return departed.mapValues { (_, departure) -> Departure(departure.revision, age = now - departure.recordedAt) }
+    }
+
     /** Records that the registry responds again after an [outage] of this length. */
     fun onRegistryReturn(
         now: MonotonicTime,
@@ -89,8 +92,8 @@
         }
         registered.remove(name)
         lapsed.remove(name)
-        departed.values.removeAll { now - it.recordedAt > DEPARTURE_RETENTION }
-        departed[name] = Departure(maxOf(revision, server.revision + 1), now)
+        expireDepartures(now)
+        departed[name] = RecordedDeparture(maxOf(revision, server.revision + 1), now)
         rebuild()
         return CatalogueChange.Removed(server)
     }
@@ -130,23 +133,36 @@
     }
 
     /**
-     * Merges the revisions at which servers have left, as another process reports them. This matters to a process that
+     * Merges the departures that another process reports; they expire when they do there. This matters to a process that
      * has just started and has read a list from an older copy, in which those servers are still registered. Returns the
      * changes.
      */
     fun mergeDepartures(
-        departures: Map<ServerName, Long>,
+        departures: Map<ServerName, Departure>,
         now: MonotonicTime,
     ): List<CatalogueChange> =
-        departures.mapNotNull { (name, revision) ->
+        departures.filterValues { it.age <= DEPARTURE_RETENTION }.mapNotNull { (name, departure) ->
             val current = registered[name]
             when {
-                current == null -> null.also { departed.putIfAbsent(name, Departure(revision, now)) }
-                current.revision < revision -> recordRemoval(name, now, revision)
-                else -> null
+                current == null -> {
+                    departed.putIfAbsent(name, RecordedDeparture(departure.revision, now - departure.age))
+                    null
+                }
+
+                current.revision < departure.revision -> {
+                    recordRemoval(name, now, departure.revision)
+                }
+
+                else -> {
+                    null
+                }
             }
         }
 
+    private fun expireDepartures(now: MonotonicTime) {
+        departed.values.removeAll { now - it.recordedAt > DEPARTURE_RETENTION }
+    }
+
     private fun listed(server: BackendServer): CatalogueChange? {
         val departure = departed[server.name]
         if (departure != null && departure.revision > server.revision) return CatalogueChange.Outdated(server)
@@ -173,7 +189,7 @@
     /** Returns the servers of [service] that may get requests. */
     fun usable(service: ServiceName): List<BackendServer> = byService[service] ?: emptyList()
 
-    private data class Departure(
+    private data class RecordedDeparture(
         val revision: Long,
         val recordedAt: MonotonicTime,
     )
@@ -192,6 +208,12 @@
     }
 }
 
+/** Departure of a server from the registry at [revision], which a process has recorded [age] ago. */
+data class Departure(
+    val revision: Long,
+    val age: Duration,
+)
+
 /** Change of one server of the catalogue. */
 sealed interface CatalogueChange {
     /** The server, as of the change. */
--- a/decision/src/test/kotlin/io/kumquattrail/decision/catalogue/ServerCatalogueSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/catalogue/ServerCatalogueSpec.kt
@@ -57,13 +57,19 @@
         describe("a process that has started and read an older copy of the registry") {
             it("a server that has left at a later revision, as peers report, is not used") {
                 val catalogue = catalogue()
-                catalogue.mergeDepartures(mapOf(ServerName("s1") to 5L), start)
+                catalogue.mergeDepartures(
+                    mapOf(ServerName("s1") to Departure(revision = 5, age = 100.milliseconds)),
+                    start,
+                )
                 catalogue.usableNames() shouldContainExactly listOf("s2")
             }
 
             it("a server that has left is not used either if the report of peers arrives before the list") {
                 val catalogue = ServerCatalogue()
-                catalogue.mergeDepartures(mapOf(ServerName("s1") to 5L), start)
+                catalogue.mergeDepartures(
+                    mapOf(ServerName("s1") to Departure(revision = 5, age = 100.milliseconds)),
+                    start,
+                )
                 catalogue.replaceList(listOf(server("s1", revision = 4), server("s2")), start)
                 catalogue.usableNames() shouldContainExactly listOf("s2")
             }
@@ -71,11 +77,29 @@
             it("a server that has registered again since it left is used") {
                 val catalogue = ServerCatalogue()
                 catalogue.replaceList(listOf(server("s1", revision = 6)), start)
-                catalogue.mergeDepartures(mapOf(ServerName("s1") to 5L), start)
+                catalogue.mergeDepartures(
+                    mapOf(ServerName("s1") to Departure(revision = 5, age = 100.milliseconds)),
+                    start,
+                )
                 catalogue.usableNames() shouldContainExactly listOf("s1")
             }
         }
 
+        describe("two processes that report departures to each other") {
+            // Each would learn anew what it has just forgotten, so that the reports of a fleet only ever grow.
+            it("forget a departure some time after it was recorded first") {
+                val processes = List(2) { catalogue() }
+                processes.first().recordRemoval(ServerName("s1"), start)
+                (0..120).forEach { second ->
+                    val now = start + second.seconds
+                    processes.forEach { sender ->
+                        processes.filter { it !== sender }.forEach { it.mergeDepartures(sender.departures(now), now) }
+                    }
+                }
+                processes.forEach { it.departures(start + 120.seconds) shouldBe emptyMap() }
+            }
+        }
+
         describe("a registry that was restored from an older copy") {
             it("a server that is missing from the copy is used until running servers have registered again") {
                 val catalogue = catalogue()
--- a/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerExchange.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerExchange.kt
@@ -184,7 +184,7 @@
             stopping = state.isStopping,
             ready = state.isReady,
             isMapLeader = state.isMapLeader,
-            departures = state.catalogue.departures,
+            departures = state.catalogue.departures(now),
             groups = if (state.isMapLeader) state.groups.members else emptyMap(),
             fatalRequests = state.fatalRequests.reports(now, maximumReports),
             promptParts = state.suspectPromptParts.reports(now, maximumReports),
--- a/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerMessage.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerMessage.kt
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.json.JsonMapper
 import com.fasterxml.jackson.databind.node.ArrayNode
 import com.fasterxml.jackson.databind.node.ObjectNode
+import io.kumquattrail.decision.catalogue.Departure
 import io.kumquattrail.decision.identity.GroupName
 import io.kumquattrail.decision.identity.ProcessName
 import io.kumquattrail.decision.identity.ServerName
@@ -26,7 +27,7 @@
  * @property stopping whether the sender is shutting down.
  * @property ready whether the sender can serve requests.
  * @property isMapLeader whether the sender is the map leader.
- * @property departures servers that have recently left the registry, each with the registry revision at which it left.
+ * @property departures servers that have recently left the registry.
  * @property fatalRequests requests that were in progress when servers crashed.
  * @property promptParts parts of prompts that may crash servers.
  * @property requestsAllSuspects whether the receiver is asked to report all of its suspects, not only the gravest ones,
@@ -42,7 +43,7 @@
     val stopping: Boolean,
     val ready: Boolean = false,
     val isMapLeader: Boolean = false,
-    val departures: Map<ServerName, Long> = emptyMap(),
+    val departures: Map<ServerName, Departure> = emptyMap(),
     val groups: Map<ServerName, GroupName> = emptyMap(),
     val fatalRequests: List<CrashReport<RequestFingerprint>> = emptyList(),
     val promptParts: List<CrashReport<PromptPart>> = emptyList(),
@@ -61,7 +62,11 @@
         root.put("ready", ready)
         root.put("keeps_maps", isMapLeader)
         val departuresNode = root.putObject("departures")
-        departures.forEach { (server, revision) -> departuresNode.put(server.value, revision) }
+        val departureAgesNode = root.putObject("departure_ages_ms")
+        departures.forEach { (server, departure) ->
+            departuresNode.put(server.value, departure.revision)
+            departureAgesNode.put(server.value, departure.age.inWholeMilliseconds)
+        }
         val groupsNode = root.putObject("groups")
         groups.entries.groupBy({ it.value }, { it.key }).forEach { (group, servers) ->
             groupsNode.putArray(group.value).also { array -> servers.forEach { array.add(it.value) } }
@@ -125,7 +130,14 @@
                 isMapLeader = root.path("keeps_maps").asBoolean(false),
                 departures =
                     root.path("departures").properties().associate { (name, revision) ->
-                        ServerName(name) to revision.asLong()
+                        // Builds before this field existed report no age.
+                        val age =
+                            root
+                                .path("departure_ages_ms")
+                                .path(name)
+                                .asLong(0)
+                                .coerceAtLeast(0)
+                        ServerName(name) to Departure(revision.asLong(), age.milliseconds)
                     },
                 fatalRequests =
                     root.path("fatal_requests").mapNotNull { node ->
--- a/forward/src/main/kotlin/io/kumquattrail/forward/process/GatewayState.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/process/GatewayState.kt
@@ -2,6 +2,7 @@
 
 import io.kumquattrail.decision.catalogue.BackendServer
 import io.kumquattrail.decision.catalogue.CatalogueChange
+import io.kumquattrail.decision.catalogue.Departure
 import io.kumquattrail.decision.catalogue.ServerCatalogue
 import io.kumquattrail.decision.identity.ProcessName
 import io.kumquattrail.decision.identity.ServerName
@@ -135,9 +136,9 @@
         hasServerList = true
     }
 
-    /** Removes the servers that have left the registry according to [peer]; [departures] holds their revisions. */
+    /** Removes the servers that have left the registry according to [peer]. */
     fun recordDepartures(
-        departures: Map<ServerName, Long>,
+        departures: Map<ServerName, Departure>,
         peer: ProcessName,
     ) {
         val changes = catalogue.mergeDepartures(departures, ProcessClock.monotonic())
--- a/forward/src/test/kotlin/io/kumquattrail/forward/peer/PeerMessageSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/peer/PeerMessageSpec.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
+import io.kumquattrail.decision.catalogue.Departure
 import io.kumquattrail.decision.identity.ProcessName
 import io.kumquattrail.decision.identity.ServerName
 import io.kumquattrail.decision.suspect.CrashReport
@@ -36,6 +37,14 @@
 
 class PeerMessageSpec :
     DescribeSpec({
+        describe("a message with departures") {
+            it("holds the same departures after it has been decoded") {
+                val departures = mapOf(ServerName("i-1") to Departure(revision = 12, age = 1_500.milliseconds))
+                val message = message(parts = 0).copy(departures = departures)
+                PeerMessage.decode(message.encode())?.departures shouldBe departures
+            }
+        }
+
         describe("a message with suspected prompt parts") {
             it("holds the same reports after it has been decoded") {
                 val message = message(parts = 3)
