Send requests without an id on connections of their own

A faulty server that writes an earlier refusal again on a kept connection made a request without an id look refused, although the server ran it: the caller was told "not run, try again". Requests with an id were safe, as answers are assigned by it; those without took the first answer on their connection, also on one that was used before.

They now get a new connection. A response that is skipped because of its id also counts as a response of the connection, so that none without an id is accepted after it.

RepeatedRefusalSpec: four of eight cases failed before (head should not include " 503 "), those of requests without an id.

--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -217,7 +217,7 @@
                 attempt.start(
                     message = translation.toServer(call, server, now),
                     requestId = call.requestId,
-                    maximumIdle = if (call.route.repeatable) Duration.INFINITE else UNREPEATABLE_MAXIMUM_IDLE,
+                    maximumIdle = maximumIdle(call),
                     responseTimeout = responseTimeout(call),
                 )
             return when (started) {
@@ -251,6 +251,17 @@
         }
     }
 
+    /** Returns how long the connection for [call] may have been idle; zero for a new connection. */
+    private fun maximumIdle(call: Call): Duration =
+        when {
+            // Without an id, the response could not be told from a copy of an earlier one on the connection.
+            call.requestId == null -> Duration.ZERO
+
+            call.route.repeatable -> Duration.INFINITE
+
+            else -> UNREPEATABLE_MAXIMUM_IDLE
+        }
+
     private suspend fun deliver(
         call: Call,
         server: BackendServer,
--- a/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnection.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnection.kt
@@ -99,7 +99,8 @@
  * loop only.
  *
  * A response with another request's id belongs to an earlier request and is skipped. A response without an id may be a
- * late copy of an earlier one, so it is accepted only as the first response on its connection. Bytes that arrive while
+ * late copy of an earlier one, so it is accepted only as the first response on its connection. A request without an id
+ * should therefore be sent on a new connection. Bytes that arrive while
  * no request is in progress, including those after a complete response, belong to no request, and the connection is not
  * reused.
  *
@@ -223,6 +224,7 @@
         skippingResponse = id != null && expectedId != null && id != expectedId
         if (skippingResponse) {
             skippedResponses += 1
+            hasResponded = true
             if (skippedResponses > MAXIMUM_SKIPPED_RESPONSES) breakOff("too many responses to other requests")
             return
         }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnectionPool.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnectionPool.kt
@@ -77,7 +77,8 @@
     /**
      * Returns a connection to [address], or `null` when none could be opened within [connectTimeout].
      *
-     * An idle connection is reused if it has been idle for at most [maximumIdle] and the server still keeps it open.
+     * An idle connection is reused if it has been idle for at most [maximumIdle] and the server still keeps it open; with
+     * a [maximumIdle] of zero, a new one is opened.
      */
     suspend fun acquire(
         address: NetworkAddress,
@@ -150,7 +151,7 @@
             val idleFor = ProcessClock.monotonic() - connection.idleSince
             if (!connection.isReusable || isExpired(connection)) {
                 connection.close()
-            } else if (idleFor > maximumIdle) {
+            } else if (idleFor > maximumIdle || maximumIdle == Duration.ZERO) {
                 connections.addLast(connection)
                 return null
             } else {
--- /dev/null
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/RepeatedRefusalSpec.kt
@@ -0,0 +1,71 @@
+package io.kumquattrail.forward.process
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldNotContain
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+
+private const val REFUSAL_HEADERS = "Not-Run: 1\r\n"
+
+private fun refusal(requestId: String?) =
+    "HTTP/1.1 503 Service Unavailable\r\n" + (requestId?.let { "Request: $it\r\n" } ?: "") + REFUSAL_HEADERS +
+        "Content-Length: 0\r\n\r\n"
+
+private fun Socket.sendPosting(
+    body: String,
+    requestId: String?,
+) = send(
+    "POST /unsafe/x HTTP/1.1\r\nHost: shop.example\r\nRemaining: 1500\r\nAuthorization: Token key\r\n" +
+        (requestId?.let { "Request: $it\r\n" } ?: "") + "Content-Length: ${body.length}\r\n\r\n$body",
+)
+
+class RepeatedRefusalSpec :
+    DescribeSpec({
+        // The caller would be told that a request has not run, and would send it again, although it has run.
+        describe("a server that writes an earlier refusal once more on a kept connection") {
+            val repetitions =
+                mapOf(
+                    "with the id of the earlier request" to refusal("r-1"),
+                    "without an id" to refusal(requestId = null),
+                    "after an interim response" to "HTTP/1.1 102 Processing\r\n\r\n" + refusal(requestId = null),
+                    "twice" to refusal("r-1") + refusal(requestId = null),
+                )
+            repetitions.forEach { (description, repeated) ->
+                listOf("r-2", null).forEach { nextId ->
+                    val next = if (nextId == null) "a request without an id" else "another request"
+                    it("does not make $next that it runs look refused, if it repeats the refusal $description") {
+                        val ran = CopyOnWriteArrayList<String>()
+                        val usedSockets = CopyOnWriteArrayList<Socket>()
+                        val server =
+                            ScriptedServer { request, socket ->
+                                val isKept = !usedSockets.addIfAbsent(socket)
+                                if (request.body == "first") {
+                                    socket.send(refusal("r-1"))
+                                } else {
+                                    ran += request.body
+                                    socket.send((if (isKept) repeated else "") + response(request, "done"))
+                                }
+                                true
+                            }
+                        withGateway(server) { fixture ->
+                            fixture.connect().use {
+                                it.sendPosting("first", "r-1")
+                                it.readResponse()
+                            }
+                            Thread.sleep(50)
+                            fixture.connect().use {
+                                it.sendPosting("second", nextId)
+                                val head = it.readResponse()!!.head
+                                withClue(fixture.log()) {
+                                    ran.size shouldBe 1
+                                    head shouldNotContain " 503 "
+                                }
+                            }
+                        }
+                    }
+                }
+            }
+        }
+    })
