Continue streams only with runs that are a continuation

What callers saw: a stream broke off, and the next server answered the request for the rest with a signed page, with an event without an id, with 204 or with 206. The page or event stood in the middle of the stream, which then ended as if it were complete.

Cause: any signed 2xx counted as the next run, and an event without an id was passed on wherever it came.

Fix: a later run needs the status of the first one and its media type, or text/event-stream, and its events need ids. A stream in which an event without an id was passed on is not continued.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/delivery/EventStreamCursor.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/delivery/EventStreamCursor.kt
@@ -15,8 +15,7 @@
     /**
      * The event is the next one; [bytes] must be written to the caller.
      *
-     * @property id id of the event, or `null` if it has no numeric id; such an event is always delivered, as it cannot
-     *   be recognised as a duplicate.
+     * @property id id of the event, or `null` if it has no numeric id.
      */
     class Deliver(
         val id: Long?,
@@ -28,6 +27,9 @@
         val id: Long,
     ) : StreamEvent
 
+    /** The event has no numeric id, so that its place in a stream that several runs make up is unknown. */
+    data object Unplaced : StreamEvent
+
     /** Events between [last] and [id] are missing, so the stream cannot be continued from this run. */
     data class Gap(
         val last: Long,
@@ -55,6 +57,11 @@
         private set
 
     private var duplicates = 0
+    private var isContinuation = false
+
+    /** Whether another run can continue the stream. It cannot after an event without an id, which it would repeat. */
+    var canContinue: Boolean = true
+        private set
 
     /** Whether the run has sent more duplicates than the caller can have received events, and so may never end. */
     val exceedsDuplicateLimit: Boolean get() = duplicates > delivered + ADDITIONAL_DUPLICATE_EVENTS
@@ -72,6 +79,7 @@
     fun startNextRun() {
         length = 0
         duplicates = 0
+        isContinuation = delivered > 0 || lastId != null
     }
 
     /** Appends [bytes] of the current run and returns the events that they complete. */
@@ -119,6 +127,10 @@
     private fun classify(event: ByteArray): StreamEvent {
         val id = idOf(event)
         val last = lastId
+        if (id == null && !isComment(event)) {
+            if (isContinuation) return StreamEvent.Unplaced
+            canContinue = false
+        }
         if (id != null && last != null) {
             if (id <= last) {
                 duplicates += 1
@@ -131,6 +143,10 @@
         return StreamEvent.Deliver(id = id, bytes = event)
     }
 
+    /** Returns whether [event] consists of comments and blank lines, which carry nothing. */
+    private fun isComment(event: ByteArray): Boolean =
+        String(event, Charsets.ISO_8859_1).lineSequence().all { it.isBlank() || it.startsWith(':') }
+
     private fun idOf(event: ByteArray): Long? =
         String(event, Charsets.ISO_8859_1)
             .lineSequence()
--- a/decision/src/test/kotlin/io/kumquattrail/decision/delivery/EventStreamCursorSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/delivery/EventStreamCursorSpec.kt
@@ -44,6 +44,23 @@
                 cursor.acceptText(event(2) + event(3)).delivered() shouldContainExactly listOf(event(3))
             }
 
+            it("a second run delivers no event without an id, whose place in the stream is unknown") {
+                val cursor = EventStreamCursor()
+                cursor.startNextRun()
+                cursor.acceptText(event(1)).delivered() shouldContainExactly listOf(event(1))
+                cursor.startNextRun()
+                cursor.acceptText(": comment\n\n").delivered() shouldContainExactly listOf(": comment\n\n")
+                cursor.acceptText("event: error\n\n").single() shouldBe StreamEvent.Unplaced
+            }
+
+            it("a stream with an event without an id cannot be continued, as a second run would repeat the event") {
+                val cursor = EventStreamCursor()
+                cursor.acceptText(event(1) + ": comment\n\n")
+                cursor.canContinue shouldBe true
+                cursor.acceptText("data: x\n\n")
+                cursor.canContinue shouldBe false
+            }
+
             it("a run that leaves out events is reported as a gap") {
                 val cursor = EventStreamCursor(lastId = 4)
                 cursor.acceptText(event(6)).single().shouldBeInstanceOf<StreamEvent.Gap>()
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/Call.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/Call.kt
@@ -56,11 +56,15 @@
     var runCount = 0
 
     /** Whether the request may be sent again if it may have run in the current attempt. */
-    val mayRunAgain: Boolean get() = route.repeatable && runCount + 1 < route.maximumAttempts
+    val mayRunAgain: Boolean
+        get() = route.repeatable && runCount + 1 < route.maximumAttempts && cursor.canContinue
 
     /** Whether a server refused the request because another rank of its group has failed. */
     var refusedByFailedGroup = false
 
+    /** Head of the run whose events the caller received first; `null` before the first event. */
+    var streamHead: AttemptStart.Responding? = null
+
     /** Adapts the stall timeout to the pace of the stream. */
     val stallTimeout = StreamStallTimeout()
 
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/StreamDelivery.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/StreamDelivery.kt
@@ -7,6 +7,7 @@
 import io.kumquattrail.forward.http.ResponsePart
 import io.kumquattrail.forward.http.endToEnd
 import io.kumquattrail.forward.process.ProcessClock
+import io.netty.handler.codec.http.HttpHeaderNames
 import kotlin.time.Duration
 
 /** Reason of a failed attempt whose response ended together with its server. */
@@ -35,6 +36,11 @@
         attempt: ServerAttempt,
         response: AttemptStart.Responding,
     ): AttemptOutcome {
+        call.streamHead?.let { first ->
+            if (!continues(first, response)) {
+                return AttemptOutcome.broken("status ${response.status} does not continue the stream")
+            }
+        }
         call.cursor.startNextRun()
         groups.onStreamStart(server.name)
         try {
@@ -44,6 +50,30 @@
         }
     }
 
+    /** Returns whether [next] is the head of another run of the stream that [first] began, and not of a failure. */
+    private fun continues(
+        first: AttemptStart.Responding,
+        next: AttemptStart.Responding,
+    ): Boolean {
+        val type = mediaType(next)
+        return next.status == first.status && (type == EVENT_STREAM || type == mediaType(first))
+    }
+
+    private fun mediaType(response: AttemptStart.Responding): String? =
+        response.headers
+            .get(HttpHeaderNames.CONTENT_TYPE)
+            ?.substringBefore(';')
+            ?.trim()
+            ?.lowercase()
+
+    private fun startExchange(
+        call: Call,
+        response: AttemptStart.Responding,
+    ) {
+        call.streamHead = response
+        call.exchange.start(response.status, response.headers.endToEnd())
+    }
+
     private suspend fun deliverEvents(
         call: Call,
         server: BackendServer,
@@ -77,7 +107,7 @@
                         return AttemptOutcome.broken("stream ended before its first event")
                     }
                     if (isCutOff(server, attempt)) return AttemptOutcome.broken(CUT_OFF_REASON)
-                    if (!call.exchange.isStarted) call.exchange.start(response.status, response.headers.endToEnd())
+                    if (!call.exchange.isStarted) startExchange(call, response)
                     call.exchange.end()
                     return AttemptOutcome.Finished(response.status)
                 }
@@ -108,7 +138,7 @@
             when (event) {
                 is StreamEvent.Deliver -> {
                     if (!call.exchange.isStarted) {
-                        call.exchange.start(response.status, response.headers.endToEnd())
+                        startExchange(call, response)
                         onFirstByte(call)
                     }
                     call.exchange.sendBodyPart(event.bytes)
@@ -119,6 +149,10 @@
                     Unit
                 }
 
+                StreamEvent.Unplaced -> {
+                    return "event without an id in a resumed stream"
+                }
+
                 is StreamEvent.Gap -> {
                     return "events ${event.last} to ${event.id} are missing"
                 }
@@ -131,4 +165,8 @@
             else -> null
         }
     }
+
+    private companion object {
+        const val EVENT_STREAM = "text/event-stream"
+    }
 }
