Resume streams that the exit of a leaving server has cut off

Cause: whether a server still listens was checked at the end of such a response only for servers in use. For a leaving one the end of the connection was taken for the end of the response.

Fix: streams, and responses to requests that may run again, are checked at leaving servers, too.

ResponseWithoutLengthSpec, "a server that exits after it has left the registry", before: expected ["1", "2", "3"] but was ["1"].

--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -275,18 +275,22 @@
         }
 
     /**
-     * Returns whether a crash of [server] has cut off the response of [attempt], which ended with its connection.
+     * Returns whether the end of [server] has cut off its response to [call] in [attempt], which ended with its
+     * connection.
      *
-     * Nothing in such a response tells its end from a crash, but a crashed server no longer listens. A server that is
-     * leaving may exit as soon as it has responded.
+     * Nothing in such a response tells its end from that of its server, but a server that has ended no longer listens. One
+     * that is leaving may exit as soon as it has responded. Its streams still count as cut off, since they last far longer
+     * than the moment of the exit, and so do responses to requests that may run again. The others count as complete.
      */
     private suspend fun isCutOff(
+        call: Call,
         server: BackendServer,
         attempt: ServerAttempt,
     ): Boolean {
         if (!attempt.endedWithConnection) return false
         val isLeaving = state.catalogue.usable(server.service).none { it.name == server.name }
-        return !isLeaving && !fatalRequests.isListening(server)
+        if (isLeaving && call.route.kind != RouteKind.STREAMING && !call.mayRunAgain) return false
+        return !fatalRequests.isListening(server)
     }
 
     private suspend fun deliverComplete(
@@ -297,7 +301,7 @@
     ): AttemptOutcome {
         var reason = ""
         val body = attempt.readBody { reason = it } ?: return AttemptOutcome.broken(reason)
-        if (isCutOff(server, attempt)) return AttemptOutcome.broken(CUT_OFF_REASON)
+        if (isCutOff(call, server, attempt)) return AttemptOutcome.broken(CUT_OFF_REASON)
         call.exchange.respond(HttpReply(response.status, response.headers.endToEnd(), body))
         onAnswerBegun(call)
         return AttemptOutcome.Finished(response.status)
@@ -311,7 +315,7 @@
         response: AttemptStart.Responding,
     ): AttemptOutcome {
         val body = attempt.readBody {} ?: return AttemptOutcome.broken("broken failure ${response.status}")
-        if (isCutOff(server, attempt)) return AttemptOutcome.broken(CUT_OFF_REASON)
+        if (isCutOff(call, server, attempt)) return AttemptOutcome.broken(CUT_OFF_REASON)
         val reply = HttpReply(response.status, response.headers.endToEnd(), body)
         // To callers these statuses mean that the request has not run, which this server has not confirmed.
         val isUnconfirmedRefusal = response.status in NOT_RUN_STATUSES
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/StreamDelivery.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/StreamDelivery.kt
@@ -11,7 +11,7 @@
 import kotlin.time.Duration
 
 /** Reason of a failed attempt whose response ended together with its server. */
-internal const val CUT_OFF_REASON = "response cut off by a crash of its server"
+internal const val CUT_OFF_REASON = "response cut off by the end of its server"
 
 /**
  * Passes the events of streams on to callers, and abandons an attempt whose stream has stalled if it may be resumed on
@@ -19,7 +19,7 @@
  *
  * @property maximumEventBytes longest event, in bytes.
  * @property onFirstByte called when the first event of a stream is sent to its caller.
- * @property isCutOff returns whether a crash of the server has cut off a response that looks complete.
+ * @property isCutOff returns whether the end of the server has cut off a response that looks complete.
  */
 internal class StreamDelivery(
     private val groups: GroupProgress,
@@ -27,7 +27,7 @@
     private val pauses: StreamPauses,
     private val maximumEventBytes: Int,
     private val onFirstByte: (Call) -> Unit,
-    private val isCutOff: suspend (BackendServer, ServerAttempt) -> Boolean,
+    private val isCutOff: suspend (Call, BackendServer, ServerAttempt) -> Boolean,
 ) {
     /** Delivers the stream that [server] sends, until it ends, breaks off or stalls. */
     suspend fun deliver(
@@ -106,7 +106,7 @@
                     if (call.cursor.lastId == null && call.cursor.delivered == 0) {
                         return AttemptOutcome.broken("stream ended before its first event")
                     }
-                    if (isCutOff(server, attempt)) return AttemptOutcome.broken(CUT_OFF_REASON)
+                    if (isCutOff(call, server, attempt)) return AttemptOutcome.broken(CUT_OFF_REASON)
                     if (!call.exchange.isStarted) startExchange(call, response)
                     call.exchange.end()
                     return AttemptOutcome.Finished(response.status)
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/ResponseWithoutLengthSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/ResponseWithoutLengthSpec.kt
@@ -8,6 +8,11 @@
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.string.shouldEndWith
 import io.kotest.matchers.string.shouldNotContain
+import io.kumquattrail.decision.identity.ServerName
+import java.net.Socket
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.atomic.AtomicReference
+import kotlin.concurrent.thread
 import kotlin.time.Duration.Companion.seconds
 
 /** Returns the head of a response with neither a length nor chunks, which ends with its connection. */
@@ -39,6 +44,51 @@
         true
     }
 
+/**
+ * Two servers that send [begin] without its length and exit once they have left the registry. To a request for the rest of a
+ * stream, they send its events up to number 3.
+ */
+private class LeavingServers(
+    begin: String,
+) {
+    private val hasLeft = CountDownLatch(1)
+    val servers: List<ScriptedServer> =
+        List(2) { index ->
+            ScriptedServer {
+                request,
+                socket,
+                ->
+                serve(index, request, socket, begin)
+            }
+        }
+
+    /** Removes the server that has received the request from the registry of [fixture], and lets it exit. */
+    fun leave(fixture: GatewayFixture) {
+        while (servers.none { it.received.isNotEmpty() }) Thread.sleep(5)
+        Thread.sleep(50)
+        val leaving = servers.indexOfFirst { it.received.isNotEmpty() }
+        fixture.update { removeServer(ServerName("s$leaving"), version = 2) }
+        hasLeft.countDown()
+    }
+
+    private fun serve(
+        index: Int,
+        request: ReceivedMessage,
+        socket: Socket,
+        begin: String,
+    ): Boolean {
+        val lastEvent = request.header("Last-Event")?.toInt()
+        if (lastEvent != null) {
+            socket.send(streamHead(request) + chunk((lastEvent + 1..3).joinToString("") { event(it) }) + LAST_CHUNK)
+            return true
+        }
+        socket.send(headWithoutLength(request) + begin)
+        hasLeft.await()
+        servers[index].close()
+        return false
+    }
+}
+
 private fun GatewayFixture.receiveStream(requestId: String = "r-1"): String =
     connect().use {
         it.sendRequest(
@@ -101,6 +151,37 @@
             }
         }
 
+        describe("a server that exits after it has left the registry") {
+            // A killed process closes its connections in order, so the end of a stream between events looks complete.
+            it("has its stream resumed at another server") {
+                val leaving = LeavingServers(begin = event(1))
+                withGateway(*leaving.servers.toTypedArray(), timeout = 8.seconds) { fixture ->
+                    val text = AtomicReference("")
+                    val caller = thread { text.set(fixture.receiveStream()) }
+                    leaving.leave(fixture)
+                    caller.join()
+                    withClue(text.get() + fixture.log()) {
+                        eventIds(text.get()) shouldContainExactly
+                            listOf("1", "2", "3")
+                    }
+                    text.get() shouldEndWith LAST_CHUNK
+                }
+            }
+
+            // A server may exit as soon as it has responded, and a request that has run must not run again.
+            it("has its response to a request that must not run twice passed on") {
+                val leaving = LeavingServers(begin = "whole")
+                withGateway(*leaving.servers.toTypedArray()) { fixture ->
+                    fixture.connect().use {
+                        it.sendRequest("/unsafe/x", "POST")
+                        leaving.leave(fixture)
+                        it.readResponse()!!.body shouldBe "whole"
+                    }
+                    leaving.servers.flatMap { it.received } shouldHaveSize 1
+                }
+            }
+        }
+
         describe("a response with neither a length nor chunks") {
             it("is passed on as a whole when the server goes on after it") {
                 withGateway(serverWithoutLength("whole")) { fixture ->
