Reject registrations whose address is no IP address

An entry of another writer with a host name was taken for a server. The look-up of a name blocks the event loop, and with it every request of the gateway, for as long as no name server answers.

DecodingSpec, "a registration whose address is no IP address with a port in range is rejected": before, the host server.invalid was taken.

--- a/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnectionPool.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnectionPool.kt
@@ -10,6 +10,7 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.util.NetUtil
 import kotlinx.coroutines.suspendCancellableCoroutine
 import java.net.ConnectException
 import java.net.InetSocketAddress
@@ -43,11 +44,12 @@
     override fun toString(): String = "$host:$port"
 
     companion object {
-        /** Parses `IP:PORT`; returns `null` for any other text. */
+        /** Parses `IP:PORT`; returns `null` for any other text, as the look-up of a name would block the event loop. */
         fun parse(text: String): NetworkAddress? {
             val port = text.substringAfterLast(':', missingDelimiterValue = "").toIntOrNull() ?: return null
             val host = text.substringBeforeLast(':')
-            return if (host.isEmpty() || port !in 1..65_535) null else NetworkAddress(host = host, port = port)
+            val isAddress = NetUtil.isValidIpV4Address(host) || NetUtil.isValidIpV6Address(host)
+            return if (isAddress && port in 1..65_535) NetworkAddress(host = host, port = port) else null
         }
     }
 }
