Test that a repeated refusal makes no request run at two servers

The gateway took a refusal without an id for the answer to the request in progress.

The guard is in place since, so no code changes here. The test fails without it: with the check in ServerConnection.onHead taken out, three cases gave "expected:<1> but was:<2>".

--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/RepeatedRefusalSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/RepeatedRefusalSpec.kt
@@ -13,6 +13,24 @@
     "HTTP/1.1 503 Service Unavailable\r\n" + (requestId?.let { "Request: $it\r\n" } ?: "") + REFUSAL_HEADERS +
         "Content-Length: 0\r\n\r\n"
 
+/** Starts a server that refuses the first posting and runs the others, with [repeated] before answers on used connections. */
+private fun repeatingServer(
+    repeated: String,
+    ran: MutableList<String>,
+): ScriptedServer {
+    val usedSockets = CopyOnWriteArrayList<Socket>()
+    return ScriptedServer { request, socket ->
+        val isKept = !usedSockets.addIfAbsent(socket)
+        if (request.body == "first") {
+            socket.send(refusal("r-1"))
+        } else {
+            ran += request.body
+            socket.send((if (isKept) repeated else "") + response(request, "done"))
+        }
+        true
+    }
+}
+
 private fun Socket.sendPosting(
     body: String,
     requestId: String?,
@@ -35,20 +53,29 @@
             repetitions.forEach { (description, repeated) ->
                 listOf("r-2", null).forEach { nextId ->
                     val next = if (nextId == null) "a request without an id" else "another request"
-                    it("does not make $next that it runs look refused, if it repeats the refusal $description") {
+                    // The gateway would take the repeated refusal for the server's answer and try another server.
+                    it(
+                        "does not make $next that must not run twice run at two servers, if it repeats it $description",
+                    ) {
                         val ran = CopyOnWriteArrayList<String>()
-                        val usedSockets = CopyOnWriteArrayList<Socket>()
-                        val server =
-                            ScriptedServer { request, socket ->
-                                val isKept = !usedSockets.addIfAbsent(socket)
-                                if (request.body == "first") {
-                                    socket.send(refusal("r-1"))
-                                } else {
-                                    ran += request.body
-                                    socket.send((if (isKept) repeated else "") + response(request, "done"))
-                                }
-                                true
+                        val servers = List(2) { repeatingServer(repeated, ran) }
+                        withGateway(*servers.toTypedArray()) { fixture ->
+                            fixture.connect().use {
+                                it.sendPosting("first", "r-1")
+                                it.readResponse()
                             }
+                            Thread.sleep(50)
+                            fixture.connect().use {
+                                it.sendPosting("second", nextId)
+                                it.readResponse()
+                            }
+                            withClue(fixture.log()) { ran.size shouldBe 1 }
+                        }
+                    }
+
+                    it("does not make $next that it runs look refused, if it repeats the refusal $description") {
+                        val ran = CopyOnWriteArrayList<String>()
+                        val server = repeatingServer(repeated, ran)
                         withGateway(server) { fixture ->
                             fixture.connect().use {
                                 it.sendPosting("first", "r-1")
