--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/MapSwitch.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/MapSwitch.kt
@@ -1,61 +1,6 @@
 package io.kumquattrail.decision.expert.replica
 
 import io.kumquattrail.decision.time.MonotonicTime
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
-
-/**
- * Timing and limits of a [MapSwitch].
- *
- * @property resendAfter time after which an order without a response is sent again.
- * @property prepareTimeout time within which all ranks must have copied their experts.
- * @property reportLag longest time by which reports lag behind; after it, a report shows the result of an order.
- * @property passesAhead number of passes from the estimated current pass to the one at which ranks switch.
- * @property mostHolds refused holds after which the switch is abandoned; one that is refused after an unknown outcome
- *   counts as several. Some refusals are expected: reports lag behind the group by several passes, so the first passes
- *   that are tried may already have begun.
- */
-data class MapSwitchSettings(
-    val resendAfter: Duration = 60.milliseconds,
-    val prepareTimeout: Duration = 5.seconds,
-    val reportLag: Duration = 350.milliseconds,
-    val passesAhead: Long = 1,
-    val mostHolds: Int = 48,
-)
-
-/** Phase of a map switch. */
-enum class MapSwitchPhase {
-    /** Ranks copy the experts of the new map. */
-    PREPARING,
-
-    /** The first rank is ordered to hold the group before the pass at which ranks switch. */
-    HOLDING,
-
-    /** It is unknown whether the group is held; it is released before another pass is tried. */
-    UNHOLDING,
-
-    /** Ranks are ordered to switch at the chosen pass. */
-    ARMING,
-
-    /** All ranks have confirmed that they will switch; the group is released. */
-    RELEASING,
-
-    /** Ranks are ordered to prepare a newer version, after which they refuse to switch to the version of this one. */
-    SUPERSEDING,
-
-    /** No rank can switch to the version any more; the group is released. */
-    RELEASING_UNCHANGED,
-
-    /** All ranks use or will use the new map. */
-    DONE,
-
-    /** The switch has ended without changing the map, or another process has released the group. */
-    ABANDONED,
-
-    /** Another process has taken over the group and ends the switch. */
-    FENCED,
-}
 
 /** An order that is due to be sent to one rank. */
 data class DueOrder(
@@ -355,13 +300,13 @@
     ) {
         val decidesFrom = progress.reportDecidesFrom ?: return
         if (now < decidesFrom) return
-        val isSwitchPending = phase == MapSwitchPhase.ARMING || phase == MapSwitchPhase.SUPERSEDING
-        if (isSwitchPending && firstRank == null) return
+        // In these phases the group is held, unless another process has ended the switch.
+        val needsHold = phase == MapSwitchPhase.ARMING || phase == MapSwitchPhase.SUPERSEDING
+        if (needsHold && firstRank == null) return
         progress.reportDecidesFrom = null
         progress.hasUnknownOutcome = false
         progress.sentAt = null
-        if (isSwitchPending && firstRank?.heldPass != pass) {
-            // Another process has ended the switch and released the group.
+        if (needsHold && firstRank?.heldPass != pass) {
             phase = MapSwitchPhase.ABANDONED
             return
         }
@@ -506,24 +451,4 @@
             return MapSwitch(states, version, map = null, currentMap, now, settings, phase, pass)
         }
     }
-
-    private class RankProgress {
-        var accepted = false
-        var hasUnknownOutcome = false
-        var inFlight = false
-        var sentAt: MonotonicTime? = null
-        var reportDecidesFrom: MonotonicTime? = null
-        var copied = false
-
-        // Version for which the rank is armed as far as is known.
-        var armedVersion: Long? = null
-
-        fun clearOrder() {
-            accepted = false
-            hasUnknownOutcome = false
-            inFlight = false
-            sentAt = null
-            reportDecidesFrom = null
-        }
-    }
 }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -59,14 +59,15 @@
     private val promptParts = PromptPartGuard(state)
     private val fatalRequests = FatalRequestGuard(scope, state, pool, metrics, promptParts, onNewEvidence)
     private val suspects = SuspectAdmission(fatalRequests, promptParts)
+    private val refusals = CallRefusals(state, headers, metrics, random)
 
     override suspend fun handle(exchange: CallerExchange) {
         val request = exchange.request
         val requestId = request.headers.get(headers.requestId)
-        if (state.refusesNewRequests) return refuse(exchange, requestId, 503, "stopping", STOPPING_BACKOFF)
+        if (state.refusesNewRequests) return refusals.refuse(exchange, requestId, 503, "stopping", STOPPING_BACKOFF)
         val configuration =
             configurationAfterStart()
-                ?: return refuse(exchange, requestId, 503, "no_configuration", STARTING_BACKOFF)
+                ?: return refusals.refuse(exchange, requestId, 503, "no_configuration", STARTING_BACKOFF)
         val decision =
             access().decide(
                 configuration = configuration,
@@ -77,15 +78,15 @@
             )
         when (decision) {
             AccessDecision.NoRoute -> {
-                refuse(exchange, requestId, 404, "no_route", null)
+                refusals.refuse(exchange, requestId, 404, "no_route", null)
             }
 
             AccessDecision.UnknownKey -> {
-                refuse(exchange, requestId, 401, "unknown_key", null)
+                refusals.refuse(exchange, requestId, 401, "unknown_key", null)
             }
 
             is AccessDecision.KeysOutdated -> {
-                refuse(
+                refusals.refuse(
                     exchange,
                     requestId,
                     503,
@@ -126,7 +127,14 @@
         val promptTokens = translation.promptTokens(exchange.request)
         if (configuration.services[service]?.engine?.fitsInMemory(promptTokens) == false) {
             // No Retry-After, as the prompt will not fit later either. A 4xx status would blame the caller.
-            return refuse(exchange, requestId, 503, "larger_than_memory", null, "prompt_tokens" to promptTokens)
+            return refusals.refuse(
+                exchange,
+                requestId,
+                503,
+                "larger_than_memory",
+                null,
+                "prompt_tokens" to promptTokens,
+            )
         }
         val callerTimeout =
             exchange.request.headers
@@ -162,22 +170,22 @@
             } finally {
                 promptParts.onEnd(call)
             }
-        if (finished == null) endAtDeadline(call)
+        if (finished == null) refusals.endAtDeadline(call)
         metrics.waitingTime.labelValues(route.kind.name).observe(call.waited.inWholeMilliseconds / 1_000.0)
     }
 
     private suspend fun runAttempts(call: Call) {
         pauses.delayPrompt(call)
         while (true) {
-            suspects.check(call)?.let { return refuseSuspect(call, it) }
+            suspects.check(call)?.let { return refusals.refuseSuspect(call, it) }
             val wasOnTrial = promptParts.isOnTrial(call)
             val choice = slotFinder.select(call, random)
             when (choice) {
-                is SlotChoice.Refused -> return refuseCall(call, choice)
+                is SlotChoice.Refused -> return refusals.refuseCall(call, choice)
                 is SlotChoice.Selected -> Unit
             }
             // While this request waited, one like it, sent by another gateway, may have crashed a server.
-            suspects.check(call)?.let { return refuseSuspect(call, it) }
+            suspects.check(call)?.let { return refusals.refuseSuspect(call, it) }
             // A trial may need another server than the one selected before.
             if (promptParts.isOnTrial(call) != wasOnTrial) continue
             val outcome = runAttempt(call, choice.server)
@@ -193,7 +201,7 @@
                     if (outcome.faultyServer != null) call.refusedByFailedGroup = true
                     if (outcome.mayHaveCrashedServer) fatalRequests.onConnectionLost(call, choice.server)
                     if (outcome.kind == FailureKind.RAN) fatalRequests.onCompleted(call)
-                    if (!mayRetry(call, outcome)) return fail(call, outcome)
+                    if (!mayRetry(call, outcome)) return refusals.fail(call, outcome)
                     // The server that all gateways use for trials of this part may have crashed in one of them.
                     if (trialServerIsGone) delay(SuspectAdmission.SHORT_DEFERRAL)
                 }
@@ -343,116 +351,6 @@
             slotFinder.takeRetry(call.service, ProcessClock.monotonic())
     }
 
-    private fun fail(
-        call: Call,
-        failure: AttemptOutcome.Failed,
-    ) {
-        val exchange = call.exchange
-        when {
-            exchange.isStarted -> exchange.abort()
-            failure.reply != null -> exchange.respond(failure.reply)
-            call.runCount == 0 -> refuse(exchange, call.requestId, 503, failure.reason, retryAfter(call, ERROR_BACKOFF))
-            else -> refuse(exchange, call.requestId, 502, failure.reason, null)
-        }
-    }
-
-    /**
-     * Returns the time after which the caller of [call] should retry.
-     *
-     * When a rank of a group fails, every rank refuses all requests for some seconds. Callers that retry at once are
-     * refused again and have used up their last attempt, so the time covers the recovery of the group.
-     */
-    private fun retryAfter(
-        call: Call,
-        default: Duration,
-    ): Duration {
-        if (!call.refusedByFailedGroup) return default
-        val estimatedRecovery =
-            state.groups.estimatedRecovery(call.triedServers, ProcessClock.monotonic()) ?: GROUP_BACKOFF
-        return estimatedRecovery.withJitter(random)
-    }
-
-    private fun refuseCall(
-        call: Call,
-        refused: SlotChoice.Refused,
-    ) {
-        if (call.exchange.isStarted) return call.exchange.abort()
-        val status = if (call.runCount == 0) 503 else 502
-        refuse(
-            call.exchange,
-            call.requestId,
-            status,
-            refused.reason,
-            retryAfter(call, refused.retryAfter),
-            "waiting" to refused.queueLength,
-            "expected_wait_ms" to refused.expectedWait?.inWholeMilliseconds,
-        )
-    }
-
-    private fun refuseSuspect(
-        call: Call,
-        refusal: SuspectRefusal,
-    ) {
-        if (call.exchange.isStarted) return call.exchange.abort()
-        val status = if (call.runCount == 0) 503 else 502
-        refuse(
-            call.exchange,
-            call.requestId,
-            status,
-            refusal.reason,
-            refusal.retryAfter,
-            "fingerprint" to call.fingerprint,
-        )
-    }
-
-    private fun endAtDeadline(call: Call) {
-        if (call.exchange.isComplete) return
-        if (call.exchange.isStarted) {
-            call.exchange.abort()
-            state.log.log("request_timed_out", "id" to call.requestId, "started" to true, "runs" to call.sendCount)
-            return
-        }
-        // A request that was never sent has not run; any other request may have run.
-        if (call.sendCount == 0) {
-            refuse(call.exchange, call.requestId, 503, "deadline_before_room", ERROR_BACKOFF)
-        } else {
-            refuse(call.exchange, call.requestId, 504, "deadline", null, "attempts" to call.sendCount)
-        }
-    }
-
-    private fun refuse(
-        exchange: CallerExchange,
-        requestId: String?,
-        status: Int,
-        reason: String,
-        retryAfter: Duration?,
-        vararg details: Pair<String, Any?>,
-    ) {
-        val reply = HttpReply(status)
-        if (requestId != null) reply.headers.set(headers.requestId, requestId)
-        if (retryAfter != null && status == 503) {
-            reply.headers.set(
-                "Retry-After",
-                "%.3f".format(
-                    Locale.ROOT,
-                    retryAfter.inWholeMilliseconds / 1_000.0,
-                ),
-            )
-        }
-        state.log.log(
-            "request_refused",
-            "id" to requestId,
-            "status" to status,
-            "reason" to reason,
-            "configuration" to state.configuration?.version,
-            "retry_after_ms" to retryAfter?.inWholeMilliseconds,
-            "held_ms" to (ProcessClock.monotonic() - exchange.arrived).inWholeMilliseconds,
-            *details,
-        )
-        metrics.requests.labelValues("any", "refused_$status").inc()
-        exchange.respond(reply)
-    }
-
     private fun logAttempt(
         call: Call,
         server: BackendServer,
@@ -545,14 +443,5 @@
          * keys from the configuration service.
          */
         val OUTDATED_BACKOFF = 300.milliseconds
-
-        /**
-         * Retry-After when the recovery of a group cannot be estimated. A failed rank stalls its group for 1.5 s,
-         * restarts and rejoins; callers honour a Retry-After of up to a third of their timeout of 8 s.
-         */
-        val GROUP_BACKOFF = 2_200.milliseconds
-
-        /** Retry-After after a failure; by then, the failed server has been detected and is avoided. */
-        val ERROR_BACKOFF = 400.milliseconds
     }
 }
