--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/RepeatedRefusalSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/RepeatedRefusalSpec.kt
@@ -7,13 +7,14 @@
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
 
-private const val REFUSAL_HEADERS = "Not-Run: 1\r\n"
-
 private fun refusal(requestId: String?) =
-    "HTTP/1.1 503 Service Unavailable\r\n" + (requestId?.let { "Request: $it\r\n" } ?: "") + REFUSAL_HEADERS +
-        "Content-Length: 0\r\n\r\n"
+    "HTTP/1.1 503 Service Unavailable\r\n" + (requestId?.let { "Request: $it\r\n" } ?: "") +
+        "Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 
-/** Starts a server that refuses the first posting and runs the others, with [repeated] before answers on used connections. */
+/**
+ * Starts a server that refuses the first posting and runs the others, and writes [repeated] before its answers on used
+ * connections. The postings that have run are added to [ran].
+ */
 private fun repeatingServer(
     repeated: String,
     ran: MutableList<String>,
@@ -39,6 +40,23 @@
         (requestId?.let { "Request: $it\r\n" } ?: "") + "Content-Length: ${body.length}\r\n\r\n$body",
 )
 
+/**
+ * Sends a posting that every server refuses, and then another one with [requestId]; returns the head of the response to the
+ * second.
+ */
+private fun GatewayFixture.sendAfterRefusal(requestId: String?): String {
+    connect().use {
+        it.sendPosting("first", "r-1")
+        it.readResponse()
+    }
+    // The connections to the servers are released after the response to the caller.
+    Thread.sleep(50)
+    return connect().use {
+        it.sendPosting("second", requestId)
+        it.readResponse()!!.head
+    }
+}
+
 class RepeatedRefusalSpec :
     DescribeSpec({
         // The caller would be told that a request has not run, and would send it again, although it has run.
@@ -53,43 +71,24 @@
             repetitions.forEach { (description, repeated) ->
                 listOf("r-2", null).forEach { nextId ->
                     val next = if (nextId == null) "a request without an id" else "another request"
-                    // The gateway would take the repeated refusal for the server's answer and try another server.
-                    it(
-                        "does not make $next that must not run twice run at two servers, if it repeats it $description",
-                    ) {
+                    it("does not make $next that it runs look refused, if it repeats the refusal $description") {
                         val ran = CopyOnWriteArrayList<String>()
-                        val servers = List(2) { repeatingServer(repeated, ran) }
-                        withGateway(*servers.toTypedArray()) { fixture ->
-                            fixture.connect().use {
-                                it.sendPosting("first", "r-1")
-                                it.readResponse()
+                        withGateway(repeatingServer(repeated, ran)) { fixture ->
+                            val head = fixture.sendAfterRefusal(nextId)
+                            withClue(fixture.log()) {
+                                ran.size shouldBe 1
+                                head shouldNotContain " 503 "
                             }
-                            Thread.sleep(50)
-                            fixture.connect().use {
-                                it.sendPosting("second", nextId)
-                                it.readResponse()
-                            }
-                            withClue(fixture.log()) { ran.size shouldBe 1 }
                         }
                     }
 
-                    it("does not make $next that it runs look refused, if it repeats the refusal $description") {
+                    // The gateway would take the repeated refusal for the server's answer and try another server.
+                    it("does not make $next run at two servers, if it repeats the refusal $description") {
                         val ran = CopyOnWriteArrayList<String>()
-                        val server = repeatingServer(repeated, ran)
-                        withGateway(server) { fixture ->
-                            fixture.connect().use {
-                                it.sendPosting("first", "r-1")
-                                it.readResponse()
-                            }
-                            Thread.sleep(50)
-                            fixture.connect().use {
-                                it.sendPosting("second", nextId)
-                                val head = it.readResponse()!!.head
-                                withClue(fixture.log()) {
-                                    ran.size shouldBe 1
-                                    head shouldNotContain " 503 "
-                                }
-                            }
+                        val servers = List(2) { repeatingServer(repeated, ran) }
+                        withGateway(*servers.toTypedArray()) { fixture ->
+                            fixture.sendAfterRefusal(nextId)
+                            withClue(fixture.log()) { ran.size shouldBe 1 }
                         }
                     }
                 }
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/ResponseWithoutLengthSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/ResponseWithoutLengthSpec.kt
@@ -53,14 +53,7 @@
 ) {
     private val hasLeft = CountDownLatch(1)
     val servers: List<ScriptedServer> =
-        List(2) { index ->
-            ScriptedServer {
-                request,
-                socket,
-                ->
-                serve(index, request, socket, begin)
-            }
-        }
+        List(2) { index -> ScriptedServer { request, socket -> serve(index, request, socket, begin) } }
 
     /** Removes the server that has received the request from the registry of [fixture], and lets it exit. */
     fun leave(fixture: GatewayFixture) {
