--- a/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/MapSwitch.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/expert/replica/MapSwitch.kt
@@ -22,6 +22,8 @@
  *   newer version as well. The group is released when all of them have.
  *
  * These two outcomes exclude each other, so any number of processes can work on the same switch.
+ * Two processes that hold the same pass for switches of their own are not told apart: a release by one also ends the
+ * hold of the other.
  *
  * @param states states that the ranks have reported, ordered by rank.
  * @param currentMap map that the ranks use until they switch.
