Log the connection and the proof of failed attempts

The log named the kind of a proof that a request had not run, but not the connection it came on, the number of the request there, whether the response named the request, or when it came after the write. Without these a copy of an earlier refusal cannot be told from a refusal of the server itself. A counter shows by proof how many requests that may run once were sent again. No decision changes. Two tests in RepeatedRefusalSpec.

--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/Call.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/Call.kt
@@ -126,6 +126,7 @@
      * @property retryGranted whether the retry budget has already granted another attempt.
      * @property mayHaveCrashedServer whether the connection was lost in the way that it is when the request crashes its
      *   server.
+     * @property evidence what is known about the connection; `null` when nothing was sent.
      */
     data class Failed(
         val kind: FailureKind,
@@ -134,6 +135,7 @@
         val faultyServer: String? = null,
         val retryGranted: Boolean = false,
         val mayHaveCrashedServer: Boolean = false,
+        val evidence: ConnectionEvidence? = null,
     ) : AttemptOutcome
 
     /** Whether the request has not reached the server. */
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -202,6 +202,7 @@
                     if (outcome.mayHaveCrashedServer) fatalRequests.onConnectionLost(call, choice.server)
                     if (outcome.kind == FailureKind.RAN) fatalRequests.onCompleted(call)
                     if (!mayRetry(call, outcome)) return refusals.fail(call, outcome)
+                    if (!call.route.repeatable) metrics.unrepeatableRetries.labelValues(outcome.kind.name).inc()
                     // The server that all gateways use for trials of this part may have crashed in one of them.
                     if (trialServerIsGone) delay(SuspectAdmission.SHORT_DEFERRAL)
                 }
@@ -250,7 +251,11 @@
                     AttemptOutcome.broken("no response in time")
                 }
             }.let {
-                if (it is AttemptOutcome.Failed) it.copy(mayHaveCrashedServer = attempt.mayHaveCrashedServer) else it
+                if (it is AttemptOutcome.Failed) {
+                    it.copy(mayHaveCrashedServer = attempt.mayHaveCrashedServer, evidence = attempt.evidence)
+                } else {
+                    it
+                }
             }.also { slotFinder.recordOutcome(server, it) }
         } finally {
             call.attempt = null
@@ -378,6 +383,10 @@
             // Links the attempts of one request that its caller sends again under another id.
             "fingerprint" to failed?.takeIf { !it.kind.provesNotRun }?.let { call.fingerprint },
             "faulty_server" to failed?.faultyServer,
+            "connection" to failed?.evidence?.localPort,
+            "connection_request" to failed?.evidence?.requestNumber,
+            "response_after_ms" to failed?.evidence?.timeToResponse?.inWholeMilliseconds,
+            "names_request" to failed?.evidence?.namesRequest,
         )
     }
 
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/ForwardingMetrics.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/ForwardingMetrics.kt
@@ -32,6 +32,15 @@
             .labelNames("result")
             .register(registry)
 
+    /** Requests that may run only once and were sent again, by the kind of proof that they had not run. */
+    val unrepeatableRetries: Counter =
+        Counter
+            .builder()
+            .name("kumquattrail_forward_unrepeatable_retries_total")
+            .help("Requests that may run once and were sent again, by proof that they had not run")
+            .labelNames("proof")
+            .register(registry)
+
     /** Backend servers that have crashed while they ran requests of this process, by service. */
     val serverCrashes: Counter =
         Counter
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/ServerAttempt.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/ServerAttempt.kt
@@ -50,6 +50,21 @@
     data object TimedOut : AttemptStart
 }
 
+/**
+ * What an attempt that has failed knows about its connection; tells apart the ways in which a proof can be wrong.
+ *
+ * @property localPort port of the gateway's end of the connection.
+ * @property requestNumber number of the request on the connection; 1 for a new connection.
+ * @property timeToResponse time from the write of the request to the response; `null` when none arrived.
+ * @property namesRequest whether the response carries the id of the request.
+ */
+data class ConnectionEvidence(
+    val localPort: Int,
+    val requestNumber: Int,
+    val timeToResponse: Duration?,
+    val namesRequest: Boolean,
+)
+
 private const val MISDIRECTED = 421
 
 /** Statuses of a successful response. */
@@ -82,6 +97,10 @@
     var mayHaveCrashedServer = false
         private set
 
+    /** What is known about the connection; `null` while nothing has been sent. */
+    var evidence: ConnectionEvidence? = null
+        private set
+
     /** Whether the response ended with its connection, so that a crash of the server may have cut it off. */
     var endedWithConnection = false
         private set
@@ -98,10 +117,22 @@
                 ?: return AttemptStart.NotSent("no connection to $address")
         connection = opened
         if (isWithdrawn) return AttemptStart.NotSent("withdrawn before it was sent")
-        sentAt = ProcessClock.monotonic()
+        val writtenAt = ProcessClock.monotonic()
+        sentAt = writtenAt
+        // A channel that is closed no longer knows its port.
+        val localPort = opened.localPort
         val received = opened.send(message, requestId)
         parts = received
-        return when (val first = next(responseTimeout)) {
+        val first = next(responseTimeout)
+        val head = first as? ResponsePart.Head
+        evidence =
+            ConnectionEvidence(
+                localPort = localPort,
+                requestNumber = opened.requestCount,
+                timeToResponse = head?.let { ProcessClock.monotonic() - writtenAt },
+                namesRequest = head?.namesRequest ?: false,
+            )
+        return when (first) {
             null -> AttemptStart.TimedOut
             is ResponsePart.Head -> classify(first)
             is ResponsePart.Broken -> AttemptStart.Unusable(first.reason)
--- a/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnection.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnection.kt
@@ -22,15 +22,21 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import kotlinx.coroutines.CompletableDeferred
+import java.net.InetSocketAddress
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /** A part of a response; a connection delivers the parts in order. */
 sealed interface ResponsePart {
-    /** Status line and headers. */
+    /**
+     * Status line and headers.
+     *
+     * @property namesRequest whether the response carries the id of the request.
+     */
     class Head(
         val status: Int,
         val headers: HttpHeadersView,
+        val namesRequest: Boolean,
     ) : ResponsePart
 
     /** Bytes of the body. */
@@ -127,6 +133,13 @@
     private var undecodedBytes = 0
     private var unreadBytes = 0
 
+    /** Number of requests that have been sent. */
+    var requestCount = 0
+        private set
+
+    /** Port of the gateway's end, which identifies the connection among those that are open. */
+    val localPort: Int get() = (context.channel().localAddress() as? InetSocketAddress)?.port ?: 0
+
     /** Time at which the last response was completed. */
     var idleSince: MonotonicTime = ProcessClock.monotonic()
         private set
@@ -150,6 +163,7 @@
         val responseParts = ResponseParts(onTaken = ::onBytesTaken)
         parts = responseParts
         expectedId = requestId
+        requestCount += 1
         keepOpen = false
         skippedResponses = 0
         skippedBytes = 0
@@ -234,7 +248,13 @@
         keepOpen = HttpUtil.isKeepAlive(response) &&
             (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response))
         keepAlive = keepAliveOf(response)
-        receiver.add(ResponsePart.Head(status = response.status().code(), headers = response.headers()))
+        receiver.add(
+            ResponsePart.Head(
+                status = response.status().code(),
+                headers = response.headers(),
+                namesRequest = id != null && id == expectedId,
+            ),
+        )
     }
 
     private fun onContent(content: HttpContent) {
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/RepeatedRefusalSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/RepeatedRefusalSpec.kt
@@ -2,7 +2,9 @@
 
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.string.shouldNotContain
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
@@ -94,4 +96,44 @@
                 }
             }
         }
+
+        // Without these fields, the log cannot show which proof let a request run at a second server.
+        it("is logged with its connection, the number of the request on it and whether it names the request") {
+            val ran = CopyOnWriteArrayList<String>()
+            withGateway(repeatingServer(repeated = "", ran)) { fixture ->
+                fixture.connect().use {
+                    it.sendPosting("first", "r-1")
+                    it.readResponse()
+                }
+                val attempt = fixture.log().lines().first { "request_attempt" in it }
+                attempt shouldContain "\"failure\":\"NOT_RUN\""
+                attempt shouldContain "\"connection_request\":1"
+                attempt shouldContain "\"names_request\":true"
+                attempt shouldContain "\"response_after_ms\":"
+                Regex("\"connection\":(\\d+)").find(attempt)!!.groupValues[1].toInt() shouldBeGreaterThan 0
+            }
+        }
+
+        // A proof that is wrong shows in this counter, even where the log is gone.
+        it("is counted by kind when a request that may run only once is sent again because of it") {
+            val servers =
+                List(2) { index ->
+                    ScriptedServer { request, socket ->
+                        socket.send(if (index == 0) refusal(request.header("Request")) else response(request, "done"))
+                        true
+                    }
+                }
+            withGateway(*servers.toTypedArray()) { fixture ->
+                repeat(8) { number ->
+                    fixture.connect().use {
+                        it.sendPosting("p$number", "r-$number")
+                        it.readResponse()
+                    }
+                }
+                val refused = servers[0].received.size
+                refused shouldBeGreaterThan 0
+                fixture.metrics() shouldContain
+                    "kumquattrail_forward_unrepeatable_retries_total{proof=\"NOT_RUN\"} $refused.0"
+            }
+        }
     })
