Send no request on a connection that has carried its id

Cause: answers are assigned by the id of the request. A faulty server that writes an earlier refusal once more puts it in front of the answer to the next request on the connection. If that is the same request, sent again by its caller under the same id, the copy names it, and the gateway took it as proof that this attempt had not run.

A connection now remembers the last 16 ids it has carried, and another one is used for a request with such an id. A copy arrives only on the connection of its original, so it cannot reach the later attempt. With ids that are used once, nothing changes.

--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/ServerAttempt.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/ServerAttempt.kt
@@ -113,8 +113,12 @@
         responseTimeout: Duration,
     ): AttemptStart {
         val opened =
-            pool.acquire(address, connectTimeout = minOf(CONNECT_TIMEOUT, responseTimeout), maximumIdle = maximumIdle)
-                ?: return AttemptStart.NotSent("no connection to $address")
+            pool.acquire(
+                address = address,
+                connectTimeout = minOf(CONNECT_TIMEOUT, responseTimeout),
+                maximumIdle = maximumIdle,
+                requestId = requestId,
+            ) ?: return AttemptStart.NotSent("no connection to $address")
         connection = opened
         if (isWithdrawn) return AttemptStart.NotSent("withdrawn before it was sent")
         val writtenAt = ProcessClock.monotonic()
--- a/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnection.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnection.kt
@@ -121,6 +121,7 @@
     private lateinit var context: ChannelHandlerContext
     private var parts: ResponseParts? = null
     private var expectedId: String? = null
+    private val recentIds = ArrayDeque<String>(RECENT_IDS)
     private var writeComplete = true
     private var keepOpen = false
     private var skippingResponse = false
@@ -164,6 +165,10 @@
         parts = responseParts
         expectedId = requestId
         requestCount += 1
+        if (requestId != null) {
+            if (recentIds.size == RECENT_IDS) recentIds.removeFirst()
+            recentIds.addLast(requestId)
+        }
         keepOpen = false
         skippedResponses = 0
         skippedBytes = 0
@@ -188,6 +193,12 @@
         return responseParts
     }
 
+    /**
+     * Returns whether one of the last requests on this connection had the id [requestId]. A late copy of the response to
+     * it could not be told from the response to another request with that id.
+     */
+    fun hasCarried(requestId: String): Boolean = requestId in recentIds
+
     /** Adds the handlers of a connection to [pipeline]. */
     fun addTo(pipeline: ChannelPipeline) {
         pipeline.addLast(HttpRequestEncoder(), ByteCounter(), decoder, this)
@@ -339,6 +350,9 @@
     private companion object {
         val INFORMATIONAL = 100..199
 
+        /** Ids that a connection remembers. A copy comes with one of the next responses. */
+        const val RECENT_IDS = 16
+
         /** Statuses of responses that have no body, whatever their headers say. */
         val STATUSES_WITHOUT_BODY = setOf(204, 304)
 
--- a/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnectionPool.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnectionPool.kt
@@ -79,14 +79,15 @@
     /**
      * Returns a connection to [address], or `null` when none could be opened within [connectTimeout].
      *
-     * An idle connection is reused if it has been idle for at most [maximumIdle] and the server still keeps it open; with
-     * a [maximumIdle] of zero, a new one is opened.
+     * An idle connection is reused if it has been idle for at most [maximumIdle], the server still keeps it open and it has
+     * not carried a request with the id [requestId]; with a [maximumIdle] of zero, a new one is opened.
      */
     suspend fun acquire(
         address: NetworkAddress,
         connectTimeout: Duration,
         maximumIdle: Duration = Duration.INFINITE,
-    ): ServerConnection? = reuse(address, maximumIdle) ?: open(address, connectTimeout)
+        requestId: String? = null,
+    ): ServerConnection? = reuse(address, maximumIdle, requestId) ?: open(address, connectTimeout)
 
     /** Returns whether a process listens at [address], within [timeout]; does not keep the connection. */
     suspend fun probe(
@@ -145,21 +146,25 @@
     private fun reuse(
         address: NetworkAddress,
         maximumIdle: Duration,
+        requestId: String?,
     ): ServerConnection? {
+        if (maximumIdle == Duration.ZERO) return null
         val connections = idle[address] ?: return null
-        while (true) {
-            // The most recently used connection has the most time left and is the least likely to be dead.
-            val connection = connections.removeLastOrNull() ?: return null
-            val idleFor = ProcessClock.monotonic() - connection.idleSince
+        // The most recently used connection has the most time left and is the least likely to be dead.
+        val candidates = connections.listIterator(connections.size)
+        while (candidates.hasPrevious()) {
+            val connection = candidates.previous()
             if (!connection.isReusable || isExpired(connection)) {
+                candidates.remove()
                 connection.close()
-            } else if (idleFor > maximumIdle || maximumIdle == Duration.ZERO) {
-                connections.addLast(connection)
+            } else if (ProcessClock.monotonic() - connection.idleSince > maximumIdle) {
                 return null
-            } else {
+            } else if (requestId == null || !connection.hasCarried(requestId)) {
+                candidates.remove()
                 return connection
             }
         }
+        return null
     }
 
     private fun isExpired(connection: ServerConnection): Boolean {
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/RepeatedRefusalSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/RepeatedRefusalSpec.kt
@@ -71,8 +71,13 @@
                     "twice" to refusal("r-1") + refusal(requestId = null),
                 )
             repetitions.forEach { (description, repeated) ->
-                listOf("r-2", null).forEach { nextId ->
-                    val next = if (nextId == null) "a request without an id" else "another request"
+                listOf("r-1", "r-2", null).forEach { nextId ->
+                    val next =
+                        when (nextId) {
+                            null -> "a request without an id"
+                            "r-1" -> "a request that its caller repeats under the same id"
+                            else -> "another request"
+                        }
                     it("does not make $next that it runs look refused, if it repeats the refusal $description") {
                         val ran = CopyOnWriteArrayList<String>()
                         withGateway(repeatingServer(repeated, ran)) { fixture ->
