Log the request rate limits that servers name

The log showed neither that a server had named a limit nor when each gateway learned of it, so it could not tell a gateway that ignores the limit from gateways that each use all of it. Answers are now read for it; placement does not use it yet.

The limit ends with the first signed answer without the header.

--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -229,6 +229,7 @@
                     maximumIdle = maximumIdle(call),
                     responseTimeout = responseTimeout(call),
                 )
+            attempt.rateLimitNotice?.let { state.recordRateLimit(server, it) }
             return when (started) {
                 is AttemptStart.Responding -> {
                     deliver(call, server, attempt, started)
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/ForwardingHeaders.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/ForwardingHeaders.kt
@@ -18,6 +18,7 @@
  * @property promptParts parts of a request's prompt in order, as comma-separated `ID:TOKENS` entries. Requests share parts;
  *   the last one belongs to the request or its session.
  * @property faultyServer address of the server whose failure made another one refuse the request.
+ * @property rateLimit requests per second that a server takes from all gateways together.
  */
 data class ForwardingHeaders(
     val requestId: String,
@@ -33,4 +34,5 @@
     val faultyServer: String,
     val tokenCount: String,
     val promptParts: String,
+    val rateLimit: String,
 )
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/ServerAttempt.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/ServerAttempt.kt
@@ -1,6 +1,7 @@
 package io.kumquattrail.forward.call
 
 import io.kumquattrail.decision.catalogue.BackendServer
+import io.kumquattrail.decision.ratelimit.RateLimitNotice
 import io.kumquattrail.decision.time.MonotonicTime
 import io.kumquattrail.forward.http.HttpHeadersView
 import io.kumquattrail.forward.http.HttpMessage
@@ -101,6 +102,10 @@
     var evidence: ConnectionEvidence? = null
         private set
 
+    /** What the response says about the server's request rate limit; `null` when it says nothing. */
+    var rateLimitNotice: RateLimitNotice? = null
+        private set
+
     /** Whether the response ended with its connection, so that a crash of the server may have cut it off. */
     var endedWithConnection = false
         private set
@@ -197,6 +202,7 @@
 
     private suspend fun classify(head: ResponsePart.Head): AttemptStart {
         val notRun = head.status == MISDIRECTED || head.headers.contains(headers.notRun)
+        if (head.status != MISDIRECTED) rateLimitNotice = readRateLimit(head.headers, isSigned(head))
         return when {
             notRun -> {
                 // The short body is read so that the connection can be reused.
@@ -212,7 +218,7 @@
                 AttemptStart.Unusable("encoded body")
             }
 
-            head.status in SUCCESS && !head.headers.contains(headers.signature) -> {
+            head.status in SUCCESS && !isSigned(head) -> {
                 AttemptStart.Unusable("response without signature")
             }
 
@@ -222,6 +228,17 @@
         }
     }
 
+    private fun isSigned(head: ResponsePart.Head): Boolean = head.headers.contains(headers.signature)
+
+    /** Only a signed response without a limit ends an earlier one; a refusal may come before the server looks at its load. */
+    private fun readRateLimit(
+        responseHeaders: HttpHeadersView,
+        isSigned: Boolean,
+    ): RateLimitNotice? {
+        val value = responseHeaders.get(headers.rateLimit)
+        return if (value == null) RateLimitNotice.Unlimited.takeIf { isSigned } else RateLimitNotice.parse(value)
+    }
+
     private companion object {
         /**
          * Longest time to open a connection. Zones are a few milliseconds apart, but TCP repeats a lost packet only
--- a/forward/src/main/kotlin/io/kumquattrail/forward/process/GatewayState.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/process/GatewayState.kt
@@ -10,6 +10,9 @@
 import io.kumquattrail.decision.placement.GroupProgress
 import io.kumquattrail.decision.placement.LoadTable
 import io.kumquattrail.decision.placement.SharedAllowance
+import io.kumquattrail.decision.ratelimit.NamedRateLimits
+import io.kumquattrail.decision.ratelimit.RateLimitNotice
+import io.kumquattrail.decision.ratelimit.ServerIncarnation
 import io.kumquattrail.decision.route.ConfirmationClock
 import io.kumquattrail.decision.route.RoutingConfiguration
 import io.kumquattrail.decision.suspect.CrashLedger
@@ -43,6 +46,9 @@
     /** Requests in progress at the servers. */
     val loads = LoadTable()
 
+    /** Request rate limits that servers have named. */
+    val rateLimits = NamedRateLimits()
+
     /** Groups of servers that work in lockstep, with the progress that each of them makes. */
     val groups = GroupProgress()
 
@@ -136,6 +142,22 @@
         hasServerList = true
     }
 
+    /** Records what an answer of [server] says about its request rate limit. */
+    fun recordRateLimit(
+        server: BackendServer,
+        notice: RateLimitNotice,
+    ) {
+        val change =
+            rateLimits.recordAnswer(ServerIncarnation(server), notice, ProcessClock.monotonic()) ?: return
+        log.log(
+            "server_rate_limit",
+            "server" to server.name,
+            "service" to server.service,
+            "requests_per_second" to change.after,
+            "before" to change.before,
+        )
+    }
+
     /** Removes the servers that have left the registry according to [peer]. */
     fun recordDepartures(
         departures: Map<ServerName, Departure>,
@@ -195,7 +217,9 @@
             )
         }
         if (changes.isNotEmpty()) {
-            loads.retainServers(catalogue.servers.mapTo(HashSet()) { it.name })
+            val registered = catalogue.servers.mapTo(HashSet()) { it.name }
+            loads.retainServers(registered)
+            rateLimits.retainServers(registered)
             onChange()
         }
     }
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/GatewayFixture.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/GatewayFixture.kt
@@ -52,6 +52,7 @@
         faultyServer = "Faulty",
         tokenCount = "Tokens",
         promptParts = "Prompt-Parts",
+        rateLimit = "Rate-Limit",
     )
 
 private fun route(
