Keep requests to a server within the rate that it has named

Cause: nothing read the limit. Each gateway sees a part of the answers only, so one that reads them alone would use the whole limit, or learn of it 9 s after the others.

Gateways now tell each other the limits and their ends; the latest answer counts. Servers without a part left get no requests, and a request that no server may have in time is refused at once with the time to return.

--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/SlotFinder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/SlotFinder.kt
@@ -11,6 +11,7 @@
 import io.kumquattrail.decision.placement.QueueingDecision
 import io.kumquattrail.decision.placement.RequestQueue
 import io.kumquattrail.decision.placement.SuspectIsolation
+import io.kumquattrail.decision.ratelimit.ServerIncarnation
 import io.kumquattrail.decision.suspect.Suspicion
 import io.kumquattrail.decision.time.MonotonicTime
 import io.kumquattrail.forward.process.GatewayState
@@ -19,7 +20,9 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.random.Random
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** The result of looking for a free slot on a server. */
 sealed interface SlotChoice {
@@ -111,6 +114,15 @@
         }
         val startDeadline = if (isResumed) now + RESUME_TIMEOUT else call.exchange.arrived + maximumQueueTime(call)
         val latestStart = minOf(startDeadline, call.deadline)
+        val limitedFor = timeUntilWithinLimits(call, now)
+        if (limitedFor != null && now + minOf(limitedFor, MAXIMUM_LIMITED_TIME) > latestStart) {
+            return SlotChoice.Refused(
+                reason = "servers_limited",
+                retryAfter = minOf(limitedFor, LIMITED_BACKOFF).withJitter(random),
+                queueLength = queue.requests.size,
+                expectedWait = limitedFor.takeIf { it.isFinite() },
+            )
+        }
         if (isResumed) return wait(queue, call, RESUMED_PRIORITY, latestStart, now, tieBreak)
         return when (val decision = queue.requests.decide(call.priority, latestStart, now, random.nextDouble())) {
             is QueueingDecision.Refuse -> {
@@ -145,6 +157,7 @@
         state.loads.started(server.name)
         state.groups.recordSend(server.name, now)
         coldRate.recordSend(server.name, now)
+        state.rateLimiter.recordSend(server.name)
     }
 
     /** Records the [outcome] of an attempt at [server]. */
@@ -274,7 +287,10 @@
             excluded = call.triedServers,
             now = now,
             tieBreak = tieBreak,
-            isWithinRateLimit = { total == null || coldRate.mayStart(it.name, total, now) },
+            isWithinRateLimit = { server ->
+                (total == null || coldRate.mayStart(server.name, total, now)) &&
+                    !timeToNext(server, now).isPositive()
+            },
             isolation =
                 isolationKey(
                     call,
@@ -283,6 +299,29 @@
         )
     }
 
+    /** Returns the time after which the request rate limit of [server] allows a request of this process. */
+    private fun timeToNext(
+        server: BackendServer,
+        now: MonotonicTime,
+    ): Duration {
+        val limit =
+            if (state.rateLimits.hasLimits) state.rateLimits.limitOf(ServerIncarnation(server)) else null
+        return if (limit == null) Duration.ZERO else state.rateLimiter.timeToNext(server.name, limit, now)
+    }
+
+    /**
+     * Returns the time after which the request rate limits of the servers that may have [call] allow one more request, or
+     * `null` when a server without a limit may have it.
+     */
+    private fun timeUntilWithinLimits(
+        call: Call,
+        now: MonotonicTime,
+    ): Duration? {
+        if (!state.rateLimits.hasLimits) return null
+        val candidates = state.catalogue.usable(call.service).filter { it.name !in call.triedServers }
+        return candidates.minOfOrNull { timeToNext(it, now) }?.takeIf { it.isPositive() }
+    }
+
     /** Returns what [call] is suspected for, its prompt part or the whole request; `null` if it is not suspected. */
     private fun isolationKey(
         call: Call,
@@ -345,6 +384,12 @@
         /** Retry-After without any server; servers register again, or return from an evacuation, within seconds. */
         val NO_SERVER_BACKOFF = 1_000.milliseconds
 
+        /** Keeps the sum with the current time finite while other gateways are the senders of all servers. */
+        val MAXIMUM_LIMITED_TIME = 1.hours
+
+        /** Longest Retry-After while all servers are limited; a gateway with another part of the rate may be free earlier. */
+        val LIMITED_BACKOFF = 1.seconds
+
         /** Retry-After for a request that found no free slot in time. */
         val WAITED_BACKOFF = 500.milliseconds
     }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerExchange.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerExchange.kt
@@ -29,8 +29,8 @@
 private const val CONFIGURATION_PATH = "/configuration"
 
 /**
- * Exchanges state with the other gateways: which gateways are alive, requests in progress, departed servers, fatal
- * requests, and the configuration when the configuration service is unreachable.
+ * Exchanges state with the other gateways: which gateways are alive, requests in progress, departed servers, request
+ * rate limits, fatal requests, and the configuration when the configuration service is unreachable.
  *
  * @param seeds addresses of the gateways that are contacted first; some of them may no longer exist.
  * @property decodeConfiguration decodes a configuration document; returns `null` when it is not valid.
@@ -69,8 +69,17 @@
     }
 
     /** Starts one round of exchanges and returns its jobs; may also be called between the periodic rounds. */
-    fun exchangeRound(scope: CoroutineScope): List<Job> =
-        table.selectPeers(ProcessClock.monotonic(), random).map { peer -> scope.launch { exchangeWith(peer) } }
+    fun exchangeRound(scope: CoroutineScope): List<Job> {
+        val now = ProcessClock.monotonic()
+        recordMembers(now)
+        return table.selectPeers(now, random).map { peer -> scope.launch { exchangeWith(peer) } }
+    }
+
+    private fun recordMembers(now: MonotonicTime) {
+        val peers = alivePeers(now)
+        state.allowance.recordProcessCount(peers.size + 1, now)
+        state.rateLimiter.updateMembers(peers, now)
+    }
 
     /** Replaces the seed addresses, which are contacted to find peers. */
     fun updateSeeds(seeds: List<ProcessName>) {
@@ -163,8 +172,9 @@
             state.suspectPromptParts.merge(message.promptParts, now)
             state.onPromptPartsReported()
         }
+        state.mergeRateLimits(message.rateLimits, message.process)
         if (message.isMapLeader && !state.isMapLeader) state.groups.updateMembers(message.groups)
-        state.allowance.recordProcessCount(alivePeers(now).size + 1, now)
+        recordMembers(now)
         table.removeLost(now).forEach { (peer, since) ->
             readyCandidates.remove(peer)
             state.log.log("peer_lost", "peer" to peer, "silent_ms" to (now - since).inWholeMilliseconds)
@@ -189,6 +199,7 @@
             fatalRequests = state.fatalRequests.reports(now, maximumReports),
             promptParts = state.suspectPromptParts.reports(now, maximumReports),
             requestsAllSuspects = withAllSuspects,
+            rateLimits = state.rateLimits.reports(now),
         )
     }
 
--- a/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerMessage.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerMessage.kt
@@ -8,6 +8,8 @@
 import io.kumquattrail.decision.identity.GroupName
 import io.kumquattrail.decision.identity.ProcessName
 import io.kumquattrail.decision.identity.ServerName
+import io.kumquattrail.decision.ratelimit.RateLimitReport
+import io.kumquattrail.decision.ratelimit.ServerIncarnation
 import io.kumquattrail.decision.suspect.CrashReport
 import io.kumquattrail.decision.suspect.PromptPart
 import io.kumquattrail.decision.suspect.RequestFingerprint
@@ -30,6 +32,7 @@
  * @property departures servers that have recently left the registry.
  * @property fatalRequests requests that were in progress when servers crashed.
  * @property promptParts parts of prompts that may crash servers.
+ * @property rateLimits request rate limits that servers have named, and their recent ends.
  * @property requestsAllSuspects whether the receiver is asked to report all of its suspects, not only the gravest ones,
  *   because the sender has not heard from it for some time.
  * @property groups group of each server according to the map leader; empty if the sender is not the map leader.
@@ -48,6 +51,7 @@
     val fatalRequests: List<CrashReport<RequestFingerprint>> = emptyList(),
     val promptParts: List<CrashReport<PromptPart>> = emptyList(),
     val requestsAllSuspects: Boolean = false,
+    val rateLimits: List<RateLimitReport> = emptyList(),
 ) {
     /** Encodes the message as JSON. */
     fun encode(): ByteArray {
@@ -74,9 +78,21 @@
         if (requestsAllSuspects) root.put("all_suspects", true)
         addReports(root, "fatal_requests", "fingerprint", fatalRequests)
         addReports(root, "prompt_parts", "part", promptParts)
+        addRateLimits(root)
         return MAPPER.writeValueAsBytes(root)
     }
 
+    private fun addRateLimits(root: ObjectNode) {
+        if (rateLimits.isEmpty()) return
+        val array = root.putArray("rate_limits")
+        rateLimits.forEach { report ->
+            val node = array.addObject()
+            node.put("server", report.server.name.value).put("incarnation", report.server.incarnation)
+            report.requestsPerSecond?.let { node.put("per_second", it) }
+            node.put("age_ms", report.age.inWholeMilliseconds)
+        }
+    }
+
     private fun addReports(
         root: ObjectNode,
         name: String,
@@ -106,6 +122,9 @@
     companion object {
         private val MAPPER = JsonMapper()
 
+        /** One hour; a time before which no answer matters, and with which no sum overflows. */
+        private const val MAXIMUM_AGE_MILLISECONDS = 3_600_000L
+
         /** Decodes a message that [encode] has written; returns `null` when [bytes] are not a valid message. */
         fun decode(bytes: ByteArray): PeerMessage? {
             val root = JsonDocument.parse(bytes).rootOrNull ?: return null
@@ -145,6 +164,7 @@
                     },
                 promptParts = root.path("prompt_parts").mapNotNull { decodeReport(it, "part", PromptPart::of) },
                 requestsAllSuspects = root.path("all_suspects").asBoolean(false),
+                rateLimits = root.path("rate_limits").mapNotNull(::decodeRateLimit),
                 groups =
                     root
                         .path("groups")
@@ -173,6 +193,19 @@
             )
         }
 
+        private fun decodeRateLimit(node: JsonNode): RateLimitReport? {
+            val server = node.path("server").takeIf { it.isTextual }?.asText() ?: return null
+            val age = node.path("age_ms").takeIf { it.isIntegralNumber } ?: return null
+            val limit = node.path("per_second")
+            // Without a number, the report would be taken for the end of the limit.
+            if (!limit.isMissingNode && (!limit.isNumber || limit.asDouble() < 0)) return null
+            return RateLimitReport(
+                server = ServerIncarnation(ServerName(server), node.path("incarnation").asLong(0)),
+                requestsPerSecond = limit.takeIf { it.isNumber }?.asDouble(),
+                age = age.asLong().coerceIn(0, MAXIMUM_AGE_MILLISECONDS).milliseconds,
+            )
+        }
+
         private fun decodeCrash(node: JsonNode) =
             ServerCrash(ServerName(node.path("server").asText()), node.path("incarnation").asLong(0))
     }
--- a/forward/src/main/kotlin/io/kumquattrail/forward/process/GatewayState.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/process/GatewayState.kt
@@ -11,8 +11,11 @@
 import io.kumquattrail.decision.placement.LoadTable
 import io.kumquattrail.decision.placement.SharedAllowance
 import io.kumquattrail.decision.ratelimit.NamedRateLimits
+import io.kumquattrail.decision.ratelimit.RateLimitChange
 import io.kumquattrail.decision.ratelimit.RateLimitNotice
+import io.kumquattrail.decision.ratelimit.RateLimitReport
 import io.kumquattrail.decision.ratelimit.ServerIncarnation
+import io.kumquattrail.decision.ratelimit.SharedRateLimiter
 import io.kumquattrail.decision.route.ConfirmationClock
 import io.kumquattrail.decision.route.RoutingConfiguration
 import io.kumquattrail.decision.suspect.CrashLedger
@@ -49,6 +52,9 @@
     /** Request rate limits that servers have named. */
     val rateLimits = NamedRateLimits()
 
+    /** This process's part of the requests to servers that have named a limit. */
+    val rateLimiter = SharedRateLimiter(self = process, minimumProcesses = minimumProcesses)
+
     /** Groups of servers that work in lockstep, with the progress that each of them makes. */
     val groups = GroupProgress()
 
@@ -147,17 +153,33 @@
         server: BackendServer,
         notice: RateLimitNotice,
     ) {
-        val change =
-            rateLimits.recordAnswer(ServerIncarnation(server), notice, ProcessClock.monotonic()) ?: return
-        log.log(
-            "server_rate_limit",
-            "server" to server.name,
-            "service" to server.service,
-            "requests_per_second" to change.after,
-            "before" to change.before,
-        )
+        val change = rateLimits.recordAnswer(ServerIncarnation(server), notice, ProcessClock.monotonic())
+        if (change != null) logRateLimit(change, peer = null)
+    }
+
+    /** Records what answers to [peer] said about the request rate limits of servers. */
+    fun mergeRateLimits(
+        reports: List<RateLimitReport>,
+        peer: ProcessName,
+    ) {
+        // A peer may still list a server that has left; its limit would be kept for ever.
+        val registered = catalogue.servers.mapTo(HashSet()) { it.name }
+        val changes = rateLimits.merge(reports.filter { it.server.name in registered }, ProcessClock.monotonic())
+        changes.forEach { logRateLimit(it, peer) }
+        if (changes.isNotEmpty()) onChange()
     }
 
+    private fun logRateLimit(
+        change: RateLimitChange,
+        peer: ProcessName?,
+    ) = log.log(
+        "server_rate_limit",
+        "server" to change.server.name,
+        "requests_per_second" to change.after,
+        "before" to change.before,
+        "peer" to peer,
+    )
+
     /** Removes the servers that have left the registry according to [peer]. */
     fun recordDepartures(
         departures: Map<ServerName, Departure>,
@@ -220,6 +242,7 @@
             val registered = catalogue.servers.mapTo(HashSet()) { it.name }
             loads.retainServers(registered)
             rateLimits.retainServers(registered)
+            rateLimiter.retainServers(registered)
             onChange()
         }
     }
--- a/forward/src/test/kotlin/io/kumquattrail/forward/peer/PeerMessageSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/peer/PeerMessageSpec.kt
@@ -6,11 +6,14 @@
 import io.kumquattrail.decision.catalogue.Departure
 import io.kumquattrail.decision.identity.ProcessName
 import io.kumquattrail.decision.identity.ServerName
+import io.kumquattrail.decision.ratelimit.RateLimitReport
+import io.kumquattrail.decision.ratelimit.ServerIncarnation
 import io.kumquattrail.decision.suspect.CrashReport
 import io.kumquattrail.decision.suspect.PromptPart
 import io.kumquattrail.decision.suspect.ServerCrash
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 private fun message(parts: Int) =
     PeerMessage(
@@ -45,6 +48,48 @@
             }
         }
 
+        describe("a message with request rate limits") {
+            it("holds the same limits and ends after it has been decoded") {
+                val limits =
+                    listOf(
+                        RateLimitReport(
+                            ServerIncarnation(ServerName("i-1"), 7),
+                            requestsPerSecond = 1.8,
+                            age = 20.milliseconds,
+                        ),
+                        RateLimitReport(
+                            ServerIncarnation(ServerName("i-2"), 0),
+                            requestsPerSecond = null,
+                            age = 2.seconds,
+                        ),
+                    )
+                val message = message(parts = 0).copy(rateLimits = limits)
+                PeerMessage.decode(message.encode())?.rateLimits shouldBe limits
+            }
+
+            it("takes at most 100 bytes for a limit, so 25 KB for the 256 that are reported") {
+                val reports =
+                    List(256) {
+                        RateLimitReport(
+                            server = ServerIncarnation(ServerName("i-${1_000_000_000L + it}"), 1_792_178_438_002),
+                            requestsPerSecond = 12.5,
+                            age = 700.milliseconds,
+                        )
+                    }
+                val message = message(parts = 0)
+                val bytes = (message.copy(rateLimits = reports).encode().size - message.encode().size) / reports.size
+                println("bytes of a report on a request rate limit: $bytes")
+                bytes shouldBeLessThanOrEqual 100
+            }
+
+            // The report would be taken for the end of the limit.
+            it("has no report for a limit that is not a number") {
+                val text = message(parts = 0).encode().decodeToString().removeSuffix("}")
+                val malformed = ",\"rate_limits\":[{\"server\":\"i-1\",\"per_second\":\"2\",\"age_ms\":1}]}"
+                PeerMessage.decode((text + malformed).toByteArray())?.rateLimits shouldBe emptyList()
+            }
+        }
+
         describe("a message with suspected prompt parts") {
             it("holds the same reports after it has been decoded") {
                 val message = message(parts = 3)
