Send complete responses to the end during a planned stop

A caller that read slowly lost a complete response of its server when the gateway stopped: 253,952 of 3,000,000 bytes arrived.

Cause: a connection counted as idle as soon as its response was handed to it, so the stop closed it, or exited, with a part of the response unsent. Responses now count as in progress until they are written. The wait stays bounded by the time of the stop.

PlannedStopSpec, "waits for a caller that still reads its answer", failed before and passes now; two more cases of the spec passed already.

--- a/forward/src/main/kotlin/io/kumquattrail/forward/http/CallerConnection.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/http/CallerConnection.kt
@@ -55,10 +55,10 @@
     /** Whether responses announce that their connection will be closed. */
     var closeAfterResponse = false
 
-    /** Closes the connections on which no request is being read or handled. */
+    /** Closes the connections on which no request is being read or handled and no response sent. */
     fun closeIdle() = connections.filter { it.isIdle }.forEach { it.close() }
 
-    /** Number of requests that are being read or handled. */
+    /** Number of connections on which a request is being read or handled, or a response sent. */
     val requestsInProgress: Int get() = connections.count { !it.isIdle }
 }
 
@@ -75,13 +75,17 @@
     private var lastActivity = ProcessClock.monotonic()
     private var headStartedAt: MonotonicTime? = null
     private var headBytes = 0
+
+    /** Complete responses of which a part waits because the caller reads slowly. */
+    private var responsesBeingSent = 0
     private var writable = CompletableDeferred<Unit>()
 
     /** Whether a request is being handled. */
     val isHandling: Boolean get() = handlerJob != null
 
-    /** Whether no request, nor a part of its head, is being read and none is being handled. */
-    val isIdle: Boolean get() = handlerJob == null && requestHead == null && headStartedAt == null
+    /** Whether no request, nor a part of its head, is being read, none is being handled and no response being sent. */
+    val isIdle: Boolean
+        get() = handlerJob == null && requestHead == null && headStartedAt == null && responsesBeingSent == 0
 
     /**
      * Closes the connection if it has been idle, or the caller has been sending one head, for longer than [limits]
@@ -348,7 +352,9 @@
         private fun finish(last: HttpObject) {
             if (last is HttpResponse) announceClose(last)
             isComplete = true
+            responsesBeingSent += 1
             val written: ChannelFuture = context.writeAndFlush(last)
+            written.addListener { responsesBeingSent -= 1 }
             if (closesAfterResponse) written.addListener(ChannelFutureListener.CLOSE)
         }
     }
