Use an id for each request in tests of kept connections

Callers use an id for each request; the cases now do as well, with the same expectations. The two cases of truncated copies run under the same id and under another one.

--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/ServerFaultsSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/ServerFaultsSpec.kt
@@ -93,16 +93,20 @@
 private fun hugeResponseHead(request: ReceivedMessage) =
     "HTTP/1.1 200 OK\r\nRequest: ${request.header("Request")}\r\nSignature: s1\r\nContent-Length: 999999999999\r\n\r\n"
 
-/** Sends two requests on one connection, [pause] milliseconds apart, and expects that each gets its own response. */
+/**
+ * Sends two requests on one connection, [pause] milliseconds apart, the second with the id [secondId], and expects that
+ * each gets its own response.
+ */
 private fun expectOwnResponses(
     server: ScriptedServer,
     pause: Long,
+    secondId: String,
 ) = withGateway(server) { fixture ->
     fixture.connect().use {
         it.sendRequest("/unsafe/x", "POST", body = "first")
         it.readResponse()!!.body shouldBe "first"
         Thread.sleep(pause)
-        it.sendRequest("/unsafe/x", "POST", body = "second")
+        it.sendRequest("/unsafe/x", "POST", body = "second", requestId = secondId)
         val answer = it.readResponse()!!
         answer.head shouldContain "200 OK"
         answer.body shouldBe "second"
@@ -123,7 +127,7 @@
                     fixture.connect().use {
                         it.sendRequest("/unsafe/x", "POST", body = "first")
                         it.readResponse()!!.body shouldBe "first"
-                        it.sendRequest("/unsafe/x", "POST", body = "second")
+                        it.sendRequest("/unsafe/x", "POST", body = "second", requestId = "r-2")
                         val answer = it.readResponse()!!
                         answer.head shouldContain "502"
                         answer.body shouldNotContain "first"
@@ -131,23 +135,25 @@
                 }
             }
 
-            it("a duplicate response truncated in its head is not joined with the next response") {
-                val server =
-                    ScriptedServer { request, socket ->
-                        socket.send(response(request, request.body))
-                        Thread.sleep(50)
-                        socket.send("HTTP/1.1 201 Late\r\nRequest: r-1\r\nSignature: s1\r\nX").let { true }
-                    }
-                expectOwnResponses(server, pause = 150)
-            }
+            mapOf("r-1" to "a request with the same id", "r-2" to "another request").forEach { (secondId, next) ->
+                it("a duplicate response truncated in its head is not joined with the response to $next") {
+                    val server =
+                        ScriptedServer { request, socket ->
+                            socket.send(response(request, request.body))
+                            Thread.sleep(50)
+                            socket.send("HTTP/1.1 201 Late\r\nRequest: r-1\r\nSignature: s1\r\nX").let { true }
+                        }
+                    expectOwnResponses(server, pause = 150, secondId)
+                }
 
-            it("a truncated duplicate in the same packet as the response is not joined with the next response") {
-                val server =
-                    ScriptedServer { request, socket ->
-                        val partialCopy = "HTTP/1.1 201 Late\r\nRequest: r-1\r\nSignature: s1\r\nX"
-                        socket.send(response(request, request.body) + partialCopy).let { true }
-                    }
-                expectOwnResponses(server, pause = 0)
+                it("a truncated duplicate in the same packet as the response is not joined with that to $next") {
+                    val server =
+                        ScriptedServer { request, socket ->
+                            val partialCopy = "HTTP/1.1 201 Late\r\nRequest: r-1\r\nSignature: s1\r\nX"
+                            socket.send(response(request, request.body) + partialCopy).let { true }
+                        }
+                    expectOwnResponses(server, pause = 0, secondId)
+                }
             }
         }
 
@@ -323,7 +329,13 @@
                     silent shouldHaveSize 4
                     val statuses =
                         (1..4).map {
-                            callers.first().sendRequest("/safe/x", "POST", body = "r$it", remaining = 4_000)
+                            callers.first().sendRequest(
+                                "/safe/x",
+                                "POST",
+                                body = "r$it",
+                                remaining = 4_000,
+                                requestId = "r-later-$it",
+                            )
                             callers
                                 .first()
                                 .readResponse()!!
