Answer requests in progress before the process exits

A request whose server had not answered at the end of a planned stop got no answer: its connection was closed, which tells its caller nothing.

Cause: the gateway exited with requests in progress. They are now ended first, with 504, or with 503 if they were never sent and so have not run; the coroutine is cancelled in the same turn and cannot send the request.

PlannedStopSpec, "answers a request that still runs at the end of the grace with 504", failed before (connection closed) and passes now.

--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallForwarder.kt
@@ -21,7 +21,10 @@
 import io.kumquattrail.forward.process.GatewayState
 import io.kumquattrail.forward.process.ProcessClock
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.job
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.Locale
 import kotlin.random.Random
@@ -61,6 +64,9 @@
     private val suspects = SuspectAdmission(fatalRequests, promptParts)
     private val refusals = CallRefusals(state, headers, metrics, random)
 
+    /** Requests that are being forwarded, with the coroutines that handle them. */
+    private val inProgress = HashMap<Call, Job>()
+
     override suspend fun handle(exchange: CallerExchange) {
         val request = exchange.request
         val requestId = request.headers.get(headers.requestId)
@@ -102,6 +108,15 @@
         }
     }
 
+    /** Ends the requests in progress because the process is about to exit. */
+    fun endInProgress() {
+        inProgress.toMap().forEach { (call, job) ->
+            refusals.endAtStop(call)
+            // The coroutine must not send a request that was refused.
+            job.cancel()
+        }
+    }
+
     /**
      * Returns the configuration in effect, or `null` while the process may not serve.
      *
@@ -161,6 +176,7 @@
                 readPromptParts = { translation.sharedPromptParts(exchange.request) },
             )
         promptParts.onStart(call)
+        inProgress[call] = currentCoroutineContext().job
         val finished =
             try {
                 withTimeoutOrNull(deadline - ProcessClock.monotonic()) {
@@ -169,6 +185,7 @@
                 }
             } finally {
                 promptParts.onEnd(call)
+                inProgress.remove(call)
             }
         if (finished == null) refusals.endAtDeadline(call)
         metrics.waitingTime.labelValues(route.kind.name).observe(call.waited.inWholeMilliseconds / 1_000.0)
--- a/forward/src/main/kotlin/io/kumquattrail/forward/call/CallRefusals.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/call/CallRefusals.kt
@@ -86,18 +86,34 @@
     }
 
     /** Ends [call], whose deadline has passed. */
-    fun endAtDeadline(call: Call) {
+    fun endAtDeadline(call: Call) =
+        endUnfinished(call, reasonBeforeSending = "deadline_before_room", reason = "deadline")
+
+    /** Ends [call], which the process cannot finish before it exits. */
+    fun endAtStop(call: Call) = endUnfinished(call, reasonBeforeSending = "stopping", reason = "stopping")
+
+    private fun endUnfinished(
+        call: Call,
+        reasonBeforeSending: String,
+        reason: String,
+    ) {
         if (call.exchange.isComplete) return
         if (call.exchange.isStarted) {
             call.exchange.abort()
-            state.log.log("request_timed_out", "id" to call.requestId, "started" to true, "runs" to call.sendCount)
+            state.log.log(
+                "request_timed_out",
+                "id" to call.requestId,
+                "reason" to reason,
+                "started" to true,
+                "runs" to call.sendCount,
+            )
             return
         }
         // A request that was never sent has not run; any other request may have run.
         if (call.sendCount == 0) {
-            refuse(call.exchange, call.requestId, 503, "deadline_before_room", ERROR_BACKOFF)
+            refuse(call.exchange, call.requestId, 503, reasonBeforeSending, ERROR_BACKOFF)
         } else {
-            refuse(call.exchange, call.requestId, 504, "deadline", null, "attempts" to call.sendCount)
+            refuse(call.exchange, call.requestId, 504, reason, null, "attempts" to call.sendCount)
         }
     }
 
--- a/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/process/Gateway.kt
@@ -210,6 +210,7 @@
                 delay(STOP_POLL_INTERVAL)
             }
             log.log("stopped", "requests" to callerListenerState.requestsInProgress)
+            forwarder.endInProgress()
             onStopped()
         }
     }
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/PlannedStopSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/PlannedStopSpec.kt
@@ -29,6 +29,20 @@
 class PlannedStopSpec :
     DescribeSpec({
         describe("a planned stop") {
+            // A caller whose connection is closed does not know whether its posting has run.
+            it("answers a request that still runs at the end of the grace with 504") {
+                val server = ScriptedServer { _, _ -> true }
+                withGateway(server, timeout = 8.seconds) { fixture ->
+                    fixture.connect().use {
+                        it.sendRequest("/unsafe/x", "POST", remaining = 8_000)
+                        server.awaitRequests(1)
+                        fixture.stop()
+                        it.readResponse().shouldNotBeNull().head shouldContain " 504 "
+                    }
+                    fixture.log() shouldContain "\"reason\":\"stopping\""
+                }
+            }
+
             it("does not end a stream that is cut at the end of the grace as complete") {
                 val server =
                     ScriptedServer { request, socket ->
