--- a/decision/src/main/kotlin/io/kumquattrail/decision/ratelimit/SharedRateLimiter.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/ratelimit/SharedRateLimiter.kt
@@ -99,14 +99,20 @@
         return isSender
     }
 
+    /** This gateway's part of the rate of one server, as a token bucket. */
     private class Bucket(
         private var refilledAt: MonotonicTime,
     ) {
+        /** Requests that may be sent now; below 0 after requests that were placed in the same moment. */
         private var requests = 0.0
 
         /** Whether this gateway is a sender; `null` until it is determined for the current members. */
         var isSender: Boolean? = null
+
+        /** The same for the members before. */
         var wasSender = false
+
+        /** Number of senders for which [isSender] was determined. */
         var senders = 0
 
         fun empty(now: MonotonicTime) {
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/PlannedStopSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/PlannedStopSpec.kt
@@ -105,5 +105,35 @@
                     server.received shouldHaveSize 1
                 }
             }
+
+            it("a request that was partly received when a planned stop began is served") {
+                val server = ScriptedServer { request, socket -> socket.send(response(request, "done")).let { true } }
+                withGateway(server) { fixture ->
+                    fixture.connect().use {
+                        it.send("GET /safe/x HTTP/1.1\r\nHost: shop.example\r\nRequest: r-1\r\n")
+                        Thread.sleep(100)
+                        fixture.gateway.stop("TERM") {}
+                        Thread.sleep(100)
+                        it.send("Remaining: 1500\r\nAuthorization: Token key\r\n\r\n")
+                        it.readResponse()!!.body shouldBe "done"
+                    }
+                }
+            }
+
+            it("a request that arrives on a keep-alive connection right after a planned stop began is served") {
+                val server = ScriptedServer { request, socket -> socket.send(response(request, "done")).let { true } }
+                withGateway(server) { fixture ->
+                    fixture.connect().use {
+                        it.sendRequest("/safe/x")
+                        it.readResponse()!!.body shouldBe "done"
+                        fixture.gateway.stop("TERM") {}
+                        Thread.sleep(200)
+                        it.sendRequest("/safe/x")
+                        val answer = it.readResponse()!!
+                        answer.body shouldBe "done"
+                        answer.head.lowercase() shouldContain "connection: close"
+                    }
+                }
+            }
         }
     })
