--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/PlannedStopSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/PlannedStopSpec.kt
@@ -84,7 +84,7 @@
             }
 
             // Work that is taken late would be cut at the end of the grace.
-            it("refuses a request that comes late as not run, on kept and on new connections") {
+            it("refuses a request that comes late as not run, on a new connection") {
                 val server =
                     ScriptedServer { request, socket ->
                         if (request.header("Request") == "r-slow") Thread.sleep(2_900)
