Reject responses whose status is not a number from 100 to 599

What callers saw: a server in trouble sent an answer with status 000, and the caller got it as an answer ("HTTP/1.1 0 Unknown Status (0)", or 200 for 0200). A refusal with such a status was believed, so that a request that may run only once ran at a second server.

Cause: the decoder of responses reads the status with Integer.parseInt and checks no range, and nothing after it did. Its result no longer shows what was sent (0200, +200), and no setting of it is stricter.

Fix: ResponseSyntax checks the bytes before they reach the decoder. It follows the framing of responses to find each status line, and the first fault ends the response and its connection. ServerConnection is the one place that reads answers of servers, of the configuration service, of other gateways and of ranks, so all of them are covered. What is no answer proves nothing: 502 for a request that may run only once, another server within the retry budget for the others, no rate limit, and the fault as the reason in the log.

--- /dev/null
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/http/ResponseHeadSyntax.kt
@@ -0,0 +1,71 @@
+package io.kumquattrail.decision.http
+
+/** What the head of a response says about where its body ends. */
+internal sealed interface BodyFraming {
+    /** The response has no body. */
+    data object None : BodyFraming
+
+    /** The body has [bytes]. */
+    data class Length(
+        val bytes: Long,
+    ) : BodyFraming
+
+    /** The body comes in chunks. */
+    data object Chunks : BodyFraming
+
+    /** The body ends with the connection. */
+    data object UntilClose : BodyFraming
+}
+
+/** Checks the lines of one head; each function returns the reason why the head is faulty, or `null`. */
+internal class ResponseHeadSyntax {
+    private var status = 0
+    private var length: Long? = null
+    private var isChunked = false
+
+    fun onStatusLine(line: String): String? {
+        val code = line.substringAfter(' ').substringBefore(' ')
+        if (!THREE_DIGITS.matches(code)) return "status is not a number of three digits"
+        status = code.toInt()
+        return if (status in STATUSES) null else "status $code is outside ${STATUSES.first} to ${STATUSES.last}"
+    }
+
+    fun onField(line: String): String? {
+        val value = line.substringAfter(':').trim(' ', '\t')
+        return when (line.substringBefore(':').lowercase()) {
+            "content-length" -> onLength(value)
+            "transfer-encoding" -> null.also { onTransferCoding(value) }
+            else -> null
+        }
+    }
+
+    /** Returns how the body is framed, at the end of the head. */
+    fun framing(): BodyFraming {
+        val bytes = length
+        return when {
+            status in INFORMATIONAL || status in STATUSES_WITHOUT_BODY -> BodyFraming.None
+            isChunked -> BodyFraming.Chunks
+            bytes != null -> BodyFraming.Length(bytes)
+            else -> BodyFraming.UntilClose
+        }
+    }
+
+    private fun onLength(value: String): String? {
+        if (length != null) return "more than one length"
+        // toLongOrNull also accepts a sign.
+        length = value.toLongOrNull()?.takeIf { value.all { it in '0'..'9' } }
+        return if (length == null) "length is not a number" else null
+    }
+
+    private fun onTransferCoding(value: String) {
+        val isLast = value.substringAfterLast(',').trim().equals("chunked", ignoreCase = true)
+        isChunked = isChunked || isLast
+    }
+
+    private companion object {
+        val THREE_DIGITS = Regex("[0-9]{3}")
+        val STATUSES = 100..599
+        val INFORMATIONAL = 100..199
+        val STATUSES_WITHOUT_BODY = setOf(204, 304)
+    }
+}
--- a/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnection.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/http/ServerConnection.kt
@@ -1,5 +1,6 @@
 package io.kumquattrail.forward.http
 
+import io.kumquattrail.decision.http.ResponseSyntax
 import io.kumquattrail.decision.time.MonotonicTime
 import io.kumquattrail.forward.process.ProcessClock
 import io.netty.buffer.ByteBuf
@@ -108,7 +109,7 @@
  * late copy of an earlier one, so it is accepted only as the first response on its connection. A request without an id
  * should therefore be sent on a new connection. Bytes that arrive while
  * no request is in progress, including those after a complete response, belong to no request, and the connection is not
- * reused.
+ * reused. A response that HTTP does not allow is broken off and proves nothing about the request.
  *
  * @property requestIdHeader header in which a server repeats the id of the request in its response; `null` if responses
  *   carry no id.
@@ -201,7 +202,7 @@
 
     /** Adds the handlers of a connection to [pipeline]. */
     fun addTo(pipeline: ChannelPipeline) {
-        pipeline.addLast(HttpRequestEncoder(), ByteCounter(), decoder, this)
+        pipeline.addLast(HttpRequestEncoder(), ByteCheck(), decoder, this)
     }
 
     /** Closes the connection, and ends the response in progress as broken off because of [reason]. */
@@ -331,14 +332,24 @@
             ?.toIntOrNull()
             ?.seconds
 
-    /** Counts bytes as they arrive, as the decoder does not report those that are not part of a complete message. */
-    private inner class ByteCounter : ChannelInboundHandlerAdapter() {
+    /**
+     * Counts and checks bytes as they arrive. The decoder does not report those that are not part of a complete message,
+     * and accepts some that HTTP does not allow.
+     */
+    private inner class ByteCheck : ChannelInboundHandlerAdapter() {
+        private val syntax = ResponseSyntax()
+
         override fun channelRead(
             context: ChannelHandlerContext,
             message: Any,
         ) {
-            if (message is ByteBuf) onBytesReceived(message.readableBytes())
+            if (message !is ByteBuf) return super.channelRead(context, message)
+            onBytesReceived(message.readableBytes())
+            val fault = syntax.read(message.readableBytes()) { message.getByte(message.readerIndex() + it) }
+            // The bytes before the fault may complete a response.
+            if (fault != null) message.writerIndex(message.readerIndex() + fault.soundBytes)
             super.channelRead(context, message)
+            if (fault != null) breakOff(fault.reason)
         }
     }
 
--- /dev/null
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/MalformedResponses.kt
@@ -0,0 +1,82 @@
+package io.kumquattrail.forward.process
+
+/** What a response would mean if its syntax were sound. */
+internal enum class Meaning(
+    val status: String,
+    val fields: String,
+) {
+    ANSWER("200 OK", ""),
+    FAILURE("500 Error", ""),
+    REFUSAL("503 Full", "Not-Run: 1\r\n"),
+}
+
+/** A response with one fault in its syntax; all else in it is sound. */
+internal class MalformedResponse(
+    val fault: String,
+    private val write: (Meaning, fields: String) -> String,
+) {
+    /** Returns the bytes of the response to the request [id] as text. */
+    fun to(
+        id: String?,
+        meaning: Meaning,
+    ): String = write(meaning, (id?.let { "Request: $it\r\n" } ?: "") + "Signature: s1\r\n" + meaning.fields)
+}
+
+private val BODY = event(1)
+private val LENGTH = "Content-Length: ${BODY.length}\r\n"
+private const val CHUNKED = "Transfer-Encoding: chunked\r\n"
+
+private fun printable(text: String): String =
+    text.map { if (it in ' '..'~') it.toString() else "<%02x>".format(it.code) }.joinToString("")
+
+private fun statusLine(line: (Meaning) -> String) =
+    MalformedResponse(
+        printable(line(Meaning.ANSWER)),
+    ) { meaning, fields -> "${line(meaning)}\r\n$fields$LENGTH\r\n$BODY" }
+
+private fun field(line: String) =
+    MalformedResponse(printable(line)) { meaning, fields ->
+        "HTTP/1.1 ${meaning.status}\r\n$fields$line\r\n$LENGTH\r\n$BODY"
+    }
+
+private fun interimHead(head: String) =
+    MalformedResponse(printable(head)) { meaning, fields ->
+        "$head\r\nHTTP/1.1 ${meaning.status}\r\n$fields$LENGTH\r\n$BODY"
+    }
+
+private fun length(lines: String) =
+    MalformedResponse(
+        printable(lines),
+    ) { meaning, fields -> "HTTP/1.1 ${meaning.status}\r\n$fields$lines\r\n\r\n$BODY" }
+
+private fun chunks(bytes: String) =
+    MalformedResponse(printable(bytes)) { meaning, fields ->
+        "HTTP/1.1 ${meaning.status}\r\n$fields$CHUNKED\r\n$bytes"
+    }
+
+private val SIZE = BODY.length.toString(16)
+
+/** Responses with a malformed head, by the part in which the fault is. */
+internal val MALFORMED_HEADS: Map<String, List<MalformedResponse>> =
+    mapOf(
+        "a status outside 100 to 599, or not of three digits" to
+            listOf("000", "0", "001", "099", "20", "600", "999", "1000", "2000", "0200", "+200", "-200", "2x0", "")
+                .map { status -> statusLine { "HTTP/1.1 $status Text" } },
+        "an interim head that is malformed" to
+            listOf("HTTP/1.1 099 Early\r\n")
+                .map(::interimHead),
+        "a line of the head that ends without a carriage return" to
+            listOf(field("X-Bad: 1\nX-Other: 1"), statusLine { "HTTP/1.1 ${it.status}\nX-Other: 1" }),
+        "a length that is not one number" to
+            listOf("-1", "+16", "0x10", "16, 16", "16, 17", "16 16", "9".repeat(20), "", "16\r\nContent-Length: 17")
+                .map { length("Content-Length: $it") },
+    )
+
+/** Responses with a sound head and a malformed body, by the part in which the fault is. */
+internal val MALFORMED_BODIES: Map<String, List<MalformedResponse>> =
+    mapOf(
+        "a chunk that is longer than its size" to
+            listOf("x\r\n", "\n", "\r", "xx").map { chunks("$SIZE\r\n$BODY$it$LAST_CHUNK") },
+        "a line of the body that ends without a carriage return" to
+            listOf("$SIZE\n$BODY\r\n$LAST_CHUNK", "${chunk(BODY)}0\n\n").map { chunks(it) },
+    )
