Reject responses whose status line is not that of HTTP/1.x

What callers saw: answers with the version HTTP/9.9, HTTP/2.0, HTTP/0.9, http/1.1 or HTTPS/1.1, with bytes or a blank line before the version, with tabs in place of blanks, or with control bytes in the reason, were passed on as answers, and believed as refusals.

Cause: the decoder skips control bytes, splits at any blank and matches versions loosely.

Fix: ResponseSyntax checks the version and every byte of the line.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/http/ResponseHeadSyntax.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/http/ResponseHeadSyntax.kt
@@ -24,10 +24,14 @@
     private var isChunked = false
 
     fun onStatusLine(line: String): String? {
+        if (!VERSION.matches(line.substringBefore(' '))) return "version is not HTTP/1.x"
         val code = line.substringAfter(' ').substringBefore(' ')
         if (!THREE_DIGITS.matches(code)) return "status is not a number of three digits"
         status = code.toInt()
-        return if (status in STATUSES) null else "status $code is outside ${STATUSES.first} to ${STATUSES.last}"
+        return when {
+            status !in STATUSES -> "status $code is outside ${STATUSES.first} to ${STATUSES.last}"
+            else -> line.firstOrNull { !isText(it) }?.let { "${byteName(it)} in the status line" }
+        }
     }
 
     fun onField(line: String): String? {
@@ -63,9 +67,18 @@
     }
 
     private companion object {
+        val VERSION = Regex("HTTP/1\\.[0-9]")
         val THREE_DIGITS = Regex("[0-9]{3}")
         val STATUSES = 100..599
         val INFORMATIONAL = 100..199
         val STATUSES_WITHOUT_BODY = setOf(204, 304)
     }
 }
+
+/** Returns whether [character], one byte, is allowed in values and reasons: all but control characters, except tabs. */
+internal fun isText(character: Char): Boolean = character == '\t' || (character >= ' ' && character != DELETE)
+
+/** Describes [character], one byte, in a log line. */
+internal fun byteName(character: Char): String = "byte 0x%02x".format(character.code)
+
+private const val DELETE = '\u007f'
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/MalformedResponses.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/MalformedResponses.kt
@@ -54,6 +54,8 @@
         "HTTP/1.1 ${meaning.status}\r\n$fields$CHUNKED\r\n$bytes"
     }
 
+private val CONTROLS = listOf('\u0000', '\u0001', '\u000b', '\u007f', '\r')
+
 private val SIZE = BODY.length.toString(16)
 
 /** Responses with a malformed head, by the part in which the fault is. */
@@ -62,8 +64,15 @@
         "a status outside 100 to 599, or not of three digits" to
             listOf("000", "0", "001", "099", "20", "600", "999", "1000", "2000", "0200", "+200", "-200", "2x0", "")
                 .map { status -> statusLine { "HTTP/1.1 $status Text" } },
+        "a status line in another form" to
+            listOf("HTTP/9.9", "HTTP/2.0", "HTTP/0.9", "HTTP/1.10", "HTTP/1.x", "http/1.1", "HTTPS/1.1")
+                .plus(listOf(" HTTP/1.1", "HTTP/1.1 ", "HTTP/1.1\u0000", "\u0001HTTP/1.1", "\r\nHTTP/1.1"))
+                .map { version -> statusLine { "$version ${it.status}" } } +
+            statusLine { "HTTP/1.1\t${it.status}" } +
+            statusLine { "HTTP/1.1 ${it.status.replace(' ', '\t')}" } +
+            CONTROLS.map { control -> statusLine { "HTTP/1.1 ${it.status}$control." } },
         "an interim head that is malformed" to
-            listOf("HTTP/1.1 099 Early\r\n")
+            listOf("HTTP/1.1 099 Early\r\n", "HTTP/9.9 103 Early\r\n")
                 .map(::interimHead),
         "a line of the head that ends without a carriage return" to
             listOf(field("X-Bad: 1\nX-Other: 1"), statusLine { "HTTP/1.1 ${it.status}\nX-Other: 1" }),
