Reject responses that switch protocols

What callers saw: silence until the deadline, and then 504, when a server answered with 101.

Cause: 101 counted as one of the interim heads, but the decoder passes all bytes after it on undecoded, so no response ever came.

Fix: 101 is a fault, as no request of the gateway offers an upgrade.

Evidence: MalformedResponsesSpec on: 504 after 1.5 s for an answer, a failure and a refusal to a request that may run only once; with this commit 502 at once. Requests that may run again were sent to another server before, too.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/http/ResponseHeadSyntax.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/http/ResponseHeadSyntax.kt
@@ -30,6 +30,7 @@
         status = code.toInt()
         return when {
             status !in STATUSES -> "status $code is outside ${STATUSES.first} to ${STATUSES.last}"
+            status == SWITCHING_PROTOCOLS -> "status $code without a request to switch protocols"
             else -> line.firstOrNull { !isText(it) }?.let { "${byteName(it)} in the status line" }
         }
     }
@@ -71,6 +72,7 @@
         val THREE_DIGITS = Regex("[0-9]{3}")
         val STATUSES = 100..599
         val INFORMATIONAL = 100..199
+        const val SWITCHING_PROTOCOLS = 101
         val STATUSES_WITHOUT_BODY = setOf(204, 304)
     }
 }
--- a/decision/src/test/kotlin/io/kumquattrail/decision/http/ResponseSyntaxSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/http/ResponseSyntaxSpec.kt
@@ -13,6 +13,7 @@
     mapOf(
         "status 000 is outside 100 to 599" to (SOUND to "HTTP/1.1 000 None\r\n"),
         "status is not a number of three digits" to (SOUND to "HTTP/1.1 0200 OK\r\n"),
+        "status 101 without a request to switch protocols" to (SOUND to "HTTP/1.1 101 Other\r\n"),
         "version is not HTTP/1.x" to (SOUND to "HTTP/2.0 200 OK\r\n"),
         "byte 0x00 in the status line" to (SOUND to "HTTP/1.1 200 O\u0000K\r\n"),
         "line that ends without a carriage return" to ("HTTP/1.1 200 OK\r\n" to "X: 1\n"),
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/MalformedResponses.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/MalformedResponses.kt
@@ -74,6 +74,8 @@
         "an interim head that is malformed" to
             listOf("HTTP/1.1 099 Early\r\n", "HTTP/9.9 103 Early\r\n")
                 .map(::interimHead),
+        "an interim head that switches protocols" to
+            listOf("HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n").map(::interimHead),
         "a line of the head that ends without a carriage return" to
             listOf(field("X-Bad: 1\nX-Other: 1"), statusLine { "HTTP/1.1 ${it.status}\nX-Other: 1" }),
         "a length that is not one number" to
