Reject responses with malformed fields

What callers saw: a server in trouble sent an answer in whose head the name of a field held a blank ("X Bad: 1", "X-Bad : 1"). The caller got it as an answer, with the line passed on, repaired. A folded line became a part of the value before it, here of the signature. Refusals with such heads were believed. The same in trailers and interim heads.

Cause: the decoder ends a name at the first blank, skips to the colon and joins lines that begin with a blank. RFC 9112 allows some of these repairs, but the repaired line may not be what the server meant.

Fix: ResponseSyntax checks every byte of a name and of a value, and takes a line that begins with a blank for a fault.

Handled before, with tests from now on: control bytes in names and values, names with other bytes that are not allowed, missing names and colons.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/http/ResponseHeadSyntax.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/http/ResponseHeadSyntax.kt
@@ -36,6 +36,7 @@
     }
 
     fun onField(line: String): String? {
+        fieldFault(line)?.let { return it }
         val value = line.substringAfter(':').trim(' ', '\t')
         return when (line.substringBefore(':').lowercase()) {
             "content-length" -> onLength(value)
@@ -77,10 +78,24 @@
     }
 }
 
+/** Returns why [line] is not a field of a head or trailer, or `null`. */
+internal fun fieldFault(line: String): String? {
+    if (line.first() == ' ' || line.first() == '\t') return "folded field"
+    val colon = line.indexOf(':')
+    if (colon < 0) return "field without a colon"
+    if (colon == 0) return "field without a name"
+    return line.take(colon).firstOrNull { !isNameCharacter(it) }?.let { "${byteName(it)} in the name of a field" }
+        ?: line.drop(colon).firstOrNull { !isText(it) }?.let { "${byteName(it)} in the value of a field" }
+}
+
 /** Returns whether [character], one byte, is allowed in values and reasons: all but control characters, except tabs. */
 internal fun isText(character: Char): Boolean = character == '\t' || (character >= ' ' && character != DELETE)
 
 /** Describes [character], one byte, in a log line. */
 internal fun byteName(character: Char): String = "byte 0x%02x".format(character.code)
 
+private fun isNameCharacter(character: Char): Boolean =
+    character in 'a'..'z' || character in 'A'..'Z' || character in '0'..'9' || character in NAME_SYMBOLS
+
+private const val NAME_SYMBOLS = "!#$%&'*+-.^_`|~"
 private const val DELETE = '\u007f'
--- a/decision/src/main/kotlin/io/kumquattrail/decision/http/ResponseSyntax.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/http/ResponseSyntax.kt
@@ -88,7 +88,7 @@
             Part.FIELD -> if (text.isEmpty()) null.also { onHeadEnd() } else head.onField(text)
             Part.CHUNK_SIZE -> onChunkSize(text)
             Part.CHUNK_END -> if (text.isEmpty()) null.also { part = Part.CHUNK_SIZE } else LONG_CHUNK
-            Part.TRAILER -> null.also { if (text.isEmpty()) onResponseEnd() }
+            Part.TRAILER -> if (text.isEmpty()) null.also { onResponseEnd() } else fieldFault(text)
             Part.BODY_UNTIL_CLOSE -> error("the body has no lines")
         }
     }
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/MalformedResponses.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/MalformedResponses.kt
@@ -54,6 +54,8 @@
         "HTTP/1.1 ${meaning.status}\r\n$fields$CHUNKED\r\n$bytes"
     }
 
+private fun trailer(line: String) = chunks("${chunk(BODY)}0\r\n$line\r\n\r\n")
+
 private val CONTROLS = listOf('\u0000', '\u0001', '\u000b', '\u007f', '\r')
 
 private val SIZE = BODY.length.toString(16)
@@ -72,10 +74,19 @@
             statusLine { "HTTP/1.1 ${it.status.replace(' ', '\t')}" } +
             CONTROLS.map { control -> statusLine { "HTTP/1.1 ${it.status}$control." } },
         "an interim head that is malformed" to
-            listOf("HTTP/1.1 099 Early\r\n", "HTTP/9.9 103 Early\r\n")
+            listOf("HTTP/1.1 099 Early\r\n", "HTTP/9.9 103 Early\r\n", "HTTP/1.1 103 Early\r\nX Bad: 1\r\n")
                 .map(::interimHead),
         "an interim head that switches protocols" to
             listOf("HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n").map(::interimHead),
+        "a blank or control byte in the name of a field" to
+            listOf("X Bad: 1", "X-Bad : 1", "X-Bad\t: 1", "X\tBad: 1", "Content Length: 3", "Signature : other")
+                .plus(listOf("Request : other", "Transfer Encoding: chunked", "Transfer-Encoding : chunked"))
+                .plus(CONTROLS.map { "X${it}Bad: 1" })
+                .map(::field),
+        "another byte that no name of a field may have, no name or no colon" to
+            listOf("X(Bad): 1", "X/Bad: 1", "\"X-Bad\": 1", "X@Bad: 1", "X-B\u00e4d: 1", ": 1", "X-Bad").map(::field),
+        "a folded field" to listOf(" folded", "\tfolded", " X-Bad: 1", " ").map(::field),
+        "a control byte in the value of a field" to CONTROLS.map { field("X-Bad: 1${it}1") },
         "a line of the head that ends without a carriage return" to
             listOf(field("X-Bad: 1\nX-Other: 1"), statusLine { "HTTP/1.1 ${it.status}\nX-Other: 1" }),
         "a length that is not one number" to
@@ -90,4 +101,6 @@
             listOf("x\r\n", "\n", "\r", "xx").map { chunks("$SIZE\r\n$BODY$it$LAST_CHUNK") },
         "a line of the body that ends without a carriage return" to
             listOf("$SIZE\n$BODY\r\n$LAST_CHUNK", "${chunk(BODY)}0\n\n").map { chunks(it) },
+        "a malformed trailer" to
+            listOf("X Bad: 1", "X-Bad : 1", "X\u0001Bad: 1", "X-Bad: \u0000", " folded", "X-Bad").map(::trailer),
     )
