Reject responses with transfer codings other than chunked

What callers saw: the encoded bytes of a response with `gzip, chunked` as an answer without any sign of the coding, or 504 for a coding without chunks. A refusal with both a length and chunks was believed.

Fix: ResponseSyntax takes exactly one coding, chunked, and takes a length beside it, or HTTP/1.0, for a fault.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/http/ResponseHeadSyntax.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/http/ResponseHeadSyntax.kt
@@ -15,11 +15,17 @@
 
     /** The body ends with the connection. */
     data object UntilClose : BodyFraming
+
+    /** The head contradicts itself. */
+    data class Faulty(
+        val reason: String,
+    ) : BodyFraming
 }
 
 /** Checks the lines of one head; each function returns the reason why the head is faulty, or `null`. */
 internal class ResponseHeadSyntax {
     private var status = 0
+    private var isHttp10 = false
     private var length: Long? = null
     private var isChunked = false
 
@@ -28,6 +34,7 @@
         val code = line.substringAfter(' ').substringBefore(' ')
         if (!THREE_DIGITS.matches(code)) return "status is not a number of three digits"
         status = code.toInt()
+        isHttp10 = line.startsWith(HTTP_1_0)
         return when {
             status !in STATUSES -> "status $code is outside ${STATUSES.first} to ${STATUSES.last}"
             status == SWITCHING_PROTOCOLS -> "status $code without a request to switch protocols"
@@ -40,7 +47,7 @@
         val value = line.substringAfter(':').trim(' ', '\t')
         return when (line.substringBefore(':').lowercase()) {
             "content-length" -> onLength(value)
-            "transfer-encoding" -> null.also { onTransferCoding(value) }
+            "transfer-encoding" -> onTransferCoding(value)
             else -> null
         }
     }
@@ -49,6 +56,8 @@
     fun framing(): BodyFraming {
         val bytes = length
         return when {
+            isChunked && bytes != null -> BodyFraming.Faulty("length beside chunks")
+            isChunked && isHttp10 -> BodyFraming.Faulty("chunks in HTTP/1.0")
             status in INFORMATIONAL || status in STATUSES_WITHOUT_BODY -> BodyFraming.None
             isChunked -> BodyFraming.Chunks
             bytes != null -> BodyFraming.Length(bytes)
@@ -63,13 +72,16 @@
         return if (length == null) "length is not a number" else null
     }
 
-    private fun onTransferCoding(value: String) {
-        val isLast = value.substringAfterLast(',').trim().equals("chunked", ignoreCase = true)
-        isChunked = isChunked || isLast
+    private fun onTransferCoding(value: String): String? {
+        // Requests offer no other coding, and a gateway that does not know a coding cannot tell where the body ends.
+        if (isChunked || !value.equals("chunked", ignoreCase = true)) return "transfer coding other than chunked"
+        isChunked = true
+        return null
     }
 
     private companion object {
         val VERSION = Regex("HTTP/1\\.[0-9]")
+        const val HTTP_1_0 = "HTTP/1.0"
         val THREE_DIGITS = Regex("[0-9]{3}")
         val STATUSES = 100..599
         val INFORMATIONAL = 100..199
--- a/decision/src/main/kotlin/io/kumquattrail/decision/http/ResponseSyntax.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/http/ResponseSyntax.kt
@@ -85,7 +85,7 @@
         val text = complete.dropLast(LINE_END.length)
         return when (part) {
             Part.STATUS_LINE -> onStatusLine(text)
-            Part.FIELD -> if (text.isEmpty()) null.also { onHeadEnd() } else head.onField(text)
+            Part.FIELD -> if (text.isEmpty()) onHeadEnd() else head.onField(text)
             Part.CHUNK_SIZE -> onChunkSize(text)
             Part.CHUNK_END -> if (text.isEmpty()) null.also { part = Part.CHUNK_SIZE } else LONG_CHUNK
             Part.TRAILER -> if (text.isEmpty()) null.also { onResponseEnd() } else fieldFault(text)
@@ -98,13 +98,15 @@
         return head.onStatusLine(text)
     }
 
-    private fun onHeadEnd() {
+    private fun onHeadEnd(): String? {
         when (val framing = head.framing()) {
+            is BodyFraming.Faulty -> return framing.reason
             BodyFraming.None -> onResponseEnd()
             BodyFraming.Chunks -> part = Part.CHUNK_SIZE
             BodyFraming.UntilClose -> part = Part.BODY_UNTIL_CLOSE
             is BodyFraming.Length -> onResponseEnd().also { bodyBytes = framing.bytes }
         }
+        return null
     }
 
     private fun onChunkSize(text: String): String? {
--- a/decision/src/test/kotlin/io/kumquattrail/decision/http/ResponseSyntaxSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/http/ResponseSyntaxSpec.kt
@@ -25,6 +25,10 @@
         "line that ends without a carriage return" to ("HTTP/1.1 200 OK\r\n" to "X: 1\n"),
         "length is not a number" to ("HTTP/1.1 200 OK\r\n" to "Content-Length: +3\r\n"),
         "more than one length" to ("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n" to "content-length: 3\r\n"),
+        "transfer coding other than chunked" to ("HTTP/1.1 200 OK\r\n" to "Transfer-Encoding: gzip\r\n"),
+        "length beside chunks" to
+            ("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n" to "\r\n"),
+        "chunks in HTTP/1.0" to ("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" to "\r\n"),
         "chunk size that is not a hexadecimal number of 31 bits" to (CHUNKS to "80000000\r\n"),
         "chunk that is longer than its size" to ("${CHUNKS}3\r\nabc" to "de"),
     )
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/MalformedResponses.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/MalformedResponses.kt
@@ -49,10 +49,12 @@
         printable(lines),
     ) { meaning, fields -> "HTTP/1.1 ${meaning.status}\r\n$fields$lines\r\n\r\n$BODY" }
 
-private fun chunks(bytes: String) =
-    MalformedResponse(printable(bytes)) { meaning, fields ->
-        "HTTP/1.1 ${meaning.status}\r\n$fields$CHUNKED\r\n$bytes"
-    }
+private fun chunks(
+    bytes: String,
+    coding: String = CHUNKED,
+) = MalformedResponse(printable(coding + bytes)) { meaning, fields ->
+    "HTTP/1.1 ${meaning.status}\r\n$fields$coding\r\n$bytes"
+}
 
 private fun trailer(line: String) = chunks("${chunk(BODY)}0\r\n$line\r\n\r\n")
 
@@ -92,6 +94,14 @@
         "a length that is not one number" to
             listOf("-1", "+16", "0x10", "16, 16", "16, 17", "16 16", "9".repeat(20), "", "16\r\nContent-Length: 17")
                 .map { length("Content-Length: $it") },
+        "a transfer coding that the gateway did not offer, or that stands beside a length" to
+            listOf("gzip", "gzip, chunked", "chunked, chunked", "identity", "xchunked")
+                .plus("chunked\r\nTransfer-Encoding: gzip")
+                .map { chunks(chunk(BODY) + LAST_CHUNK, coding = "Transfer-Encoding: $it\r\n") } +
+            MalformedResponse("chunks in HTTP/1.0") { meaning, fields ->
+                "HTTP/1.0 ${meaning.status}\r\n$fields$CHUNKED\r\n${chunk(BODY)}$LAST_CHUNK"
+            } +
+            length("${LENGTH}Transfer-Encoding: chunked"),
     )
 
 /** Responses with a sound head and a malformed body, by the part in which the fault is. */
