Reject responses with malformed chunk sizes

What callers saw: an answer whose chunk size was followed by other bytes (`10 10`, `10` with NUL, 0x01 or a bare CR) or preceded by a blank was passed on, read as 16.

Cause: the decoder skips blanks and control bytes before a size and ignores what follows the first byte that is no digit.

Fix: a size is a hexadecimal number, alone or before an extension.

--- a/decision/src/main/kotlin/io/kumquattrail/decision/http/ResponseSyntax.kt
+++ b/decision/src/main/kotlin/io/kumquattrail/decision/http/ResponseSyntax.kt
@@ -111,7 +111,12 @@
 
     private fun onChunkSize(text: String): String? {
         val digits = text.takeWhile { it in HEXADECIMAL_DIGITS }
+        val extension = text.drop(digits.length)
         val size = digits.toIntOrNull(radix = 16) ?: return "chunk size that is not a hexadecimal number of 31 bits"
+        if (extension.isNotEmpty() && !extension.trimStart(' ', '\t').startsWith(';')) {
+            return "chunk size that is followed by more than an extension"
+        }
+        extension.firstOrNull { !isText(it) }?.let { return "${byteName(it)} in the extension of a chunk" }
         part = if (size == 0) Part.TRAILER else Part.CHUNK_END
         bodyBytes = size.toLong()
         return null
--- a/decision/src/test/kotlin/io/kumquattrail/decision/http/ResponseSyntaxSpec.kt
+++ b/decision/src/test/kotlin/io/kumquattrail/decision/http/ResponseSyntaxSpec.kt
@@ -30,6 +30,8 @@
             ("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n" to "\r\n"),
         "chunks in HTTP/1.0" to ("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" to "\r\n"),
         "chunk size that is not a hexadecimal number of 31 bits" to (CHUNKS to "80000000\r\n"),
+        "chunk size that is followed by more than an extension" to (CHUNKS to "3 3\r\n"),
+        "byte 0x01 in the extension of a chunk" to (CHUNKS to "3;\u0001\r\n"),
         "chunk that is longer than its size" to ("${CHUNKS}3\r\nabc" to "de"),
     )
 
--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/MalformedResponses.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/MalformedResponses.kt
@@ -56,6 +56,8 @@
     "HTTP/1.1 ${meaning.status}\r\n$fields$coding\r\n$bytes"
 }
 
+private fun chunkSize(size: String) = chunks("$size\r\n$BODY\r\n$LAST_CHUNK")
+
 private fun trailer(line: String) = chunks("${chunk(BODY)}0\r\n$line\r\n\r\n")
 
 private val CONTROLS = listOf('\u0000', '\u0001', '\u000b', '\u007f', '\r')
@@ -107,6 +109,10 @@
 /** Responses with a sound head and a malformed body, by the part in which the fault is. */
 internal val MALFORMED_BODIES: Map<String, List<MalformedResponse>> =
     mapOf(
+        "a chunk size that is not one hexadecimal number" to
+            listOf("-1", "0x$SIZE", "g", "+$SIZE", "", "$SIZE $SIZE", "$SIZE\u0000", "$SIZE\r", "$SIZE\u0001", " $SIZE")
+                .plus(listOf("$SIZE ", "$SIZE\t", "$SIZE,1", "$SIZE;a=\u0001", "FFFFFFFF", "10000000000000000$SIZE"))
+                .map(::chunkSize),
         "a chunk that is longer than its size" to
             listOf("x\r\n", "\n", "\r", "xx").map { chunks("$SIZE\r\n$BODY$it$LAST_CHUNK") },
         "a line of the body that ends without a carriage return" to
