Reject malformed responses of backend servers and replicas

What callers saw: the agent passed a response with status 000 or 999, or with a malformed field, on as the answer of its backend server. Gateway and agent read lists and records from replicas of the configuration service that sent status 0200, version HTTP/9.9 or such fields.

Cause: both use the HTTP client of Vert.x, whose decoder has the same leniency as that of the direct gateway.

Fix: a handler before the decoder of each connection applies the same check. Calls are reported as lost, reads as unreachable, both with the fault.

Evidence: BackendClientSpec without the handler: 3 of 4 tests fail (the first case, status 000, gives a head and a body instead of a loss; status 999 gives a status). ConfigurationServiceClientSpec on: 5 of 6 fail. With this commit: none.

--- a/agent/src/main/kotlin/io/kumquattrail/agent/backend/BackendClient.kt
+++ b/agent/src/main/kotlin/io/kumquattrail/agent/backend/BackendClient.kt
@@ -1,5 +1,6 @@
 package io.kumquattrail.agent.backend
 
+import io.kumquattrail.node.http.rejectMalformedResponses
 import io.kumquattrail.node.settings.SocketAddress
 import io.vertx.core.Future
 import io.vertx.core.Vertx
@@ -42,13 +43,20 @@
             .httpClientBuilder()
             .with(options)
             .with(pool)
-            .withConnectHandler { connection -> connection.closeHandler { onConnectionClosed() } }
-            .build()
+            .withConnectHandler { connection ->
+                connection.rejectMalformedResponses()
+                connection.closeHandler { onConnectionClosed() }
+            }.build()
 
     // A server may close an idle pooled connection while a call is written to it, and then nobody knows whether the
     // call ran. A new connection for each unrepeatable call leaves no such doubt.
     private val unpooled: HttpClientAgent =
-        vertx.createHttpClient(HttpClientOptions(options).setKeepAlive(false), pool)
+        vertx
+            .httpClientBuilder()
+            .with(HttpClientOptions(options).setKeepAlive(false))
+            .with(pool)
+            .withConnectHandler { connection -> connection.rejectMalformedResponses() }
+            .build()
 
     /** Sends [call] once and reports the answer; cancelling the collection resets the call. */
     fun send(call: BackendCall): Flow<BackendEvent> =
--- a/node/src/main/kotlin/io/kumquattrail/node/configuration/ConfigurationServiceClient.kt
+++ b/node/src/main/kotlin/io/kumquattrail/node/configuration/ConfigurationServiceClient.kt
@@ -8,6 +8,7 @@
 import io.kumquattrail.decision.configuration.PublishedEntry
 import io.kumquattrail.decision.configuration.PublishedValue
 import io.kumquattrail.decision.configuration.RecordDelta
+import io.kumquattrail.node.http.rejectMalformedResponses
 import io.kumquattrail.node.settings.SocketAddress
 import io.vertx.core.Vertx
 import io.vertx.core.VertxException
@@ -22,7 +23,7 @@
 
 /** Says why the configuration service gave no usable answer. */
 sealed interface ServiceReadError {
-    /** No answer arrived in time, or no connection was made. */
+    /** No well-formed response arrived in time, or no connection was made. */
     data class Unreachable(
         val cause: String,
     ) : ServiceReadError
@@ -50,7 +51,16 @@
     private val random: Random,
     private val answerTimeout: Duration = 2.seconds,
 ) {
-    private val client = WebClient.create(vertx, WebClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLISECONDS))
+    private val options = WebClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLISECONDS)
+    private val client =
+        WebClient.wrap(
+            vertx
+                .httpClientBuilder()
+                .with(options)
+                .withConnectHandler { connection -> connection.rejectMalformedResponses() }
+                .build(),
+            options,
+        )
     private val mapper = ObjectMapper()
 
     /** Reads the records above revision [after]; the service may hold the answer back for [wait]. */
