Set the handlers of a backend call before it is sent

What callers saw: silence until the deadline, although the backend server had answered.

Cause: the agent set the handlers of the response after the call had been sent. Vert.x drops a response that arrives before its handlers are set.

--- a/agent/src/main/kotlin/io/kumquattrail/agent/backend/BackendClient.kt
+++ b/agent/src/main/kotlin/io/kumquattrail/agent/backend/BackendClient.kt
@@ -73,8 +73,10 @@
             val events = Channel<BackendEvent>(Channel.UNLIMITED)
             call.headers.forEach { (name, value) -> request.putHeader(name, value) }
             request.exceptionHandler { events.trySend(BackendEvent.Lost(it.toString())) }
-            val response = request.send(Buffer.buffer(call.body))
+            // Bytes that arrive before the handlers are set are lost, so they are set before the call is sent.
+            val response = request.response()
             listen(response, events)
+            request.send(Buffer.buffer(call.body))
             var complete = false
             try {
                 for (event in events) {
--- a/agent/src/test/kotlin/io/kumquattrail/agent/backend/BackendClientSpec.kt
+++ b/agent/src/test/kotlin/io/kumquattrail/agent/backend/BackendClientSpec.kt
@@ -10,9 +10,14 @@
 import io.vertx.core.Vertx
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.flow.toList
+import kotlinx.coroutines.withTimeout
+import kotlin.time.Duration.Companion.seconds
 
 private const val REST = "Content-Length: 2\r\n\r\n{}"
 
+private val REPEATABLE = BackendCall("GET", "/x", emptyMap(), ByteArray(0), repeatable = true)
+private val UNREPEATABLE = BackendCall("GET", "/x", emptyMap(), ByteArray(0), repeatable = false)
+
 /** Malformed responses with their faults, as the client describes them. */
 private val MALFORMED =
     mapOf(
@@ -45,18 +50,16 @@
             }
         }
 
-        suspend fun events(repeatable: Boolean): List<BackendEvent> =
-            withClient { it.send(BackendCall("GET", "/x", emptyMap(), ByteArray(0), repeatable)).toList() }
+        suspend fun events(call: BackendCall): List<BackendEvent> = withClient { it.send(call).toList() }
 
         // Callers would receive the bytes of a failing server as an answer.
         describe("a backend server that sends a malformed response") {
-            listOf(true, false).forEach { repeatable ->
-                val call = if (repeatable) "a call that may be repeated" else "a call that may not be repeated"
-                it("has $call reported as lost, with the fault") {
+            mapOf("may be repeated" to REPEATABLE, "may not be repeated" to UNREPEATABLE).forEach { (kind, call) ->
+                it("has a call that $kind reported as lost, with the fault") {
                     MALFORMED.forEach { (malformed, fault) ->
                         server.response = malformed
                         withClue(malformed) {
-                            val lost = events(repeatable).single().shouldBeInstanceOf<BackendEvent.Lost>()
+                            val lost = events(call).single().shouldBeInstanceOf<BackendEvent.Lost>()
                             lost.cause shouldContain fault
                         }
                     }
@@ -71,12 +74,22 @@
             }
         }
 
+        // The call would wait until its deadline for a response that has arrived.
+        it("receives every response whole, however soon it arrives") {
+            server.response = "HTTP/1.1 200 OK\r\n$REST"
+            withClient { client ->
+                repeat(2_000) {
+                    withTimeout(5.seconds) { client.send(REPEATABLE).toList().last() shouldBe BackendEvent.End }
+                }
+            }
+        }
+
         // A check that is too strict would turn good answers away.
         it("passes on a well-formed response, after an interim one and with trailers") {
             server.response =
                 "HTTP/1.1 103 Early\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
                 "2;a=b\r\n{}\r\n0\r\nX-Trailer: 1\r\n\r\n"
-            val events = events(repeatable = true)
+            val events = events(REPEATABLE)
             events.first().shouldBeInstanceOf<BackendEvent.Head>().status shouldBe 200
             events.filterIsInstance<BackendEvent.Body>().joinToString("") { String(it.bytes) } shouldBe "{}"
             events.last() shouldBe BackendEvent.End
