Read no status of a backend server from a failure

What was seen: the agent read the status of its server from any response, so one with status 500 and a JSON body made the server look idle and of an incarnation without a name.

Cause: the status code was not looked at.

Evidence: the new test fails without the fix and passes with it.

--- a/agent/src/main/kotlin/io/kumquattrail/agent/backend/BackendClient.kt
+++ b/agent/src/main/kotlin/io/kumquattrail/agent/backend/BackendClient.kt
@@ -9,6 +9,7 @@
 import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpClientResponse
 import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.HttpResponseExpectation
 import io.vertx.core.http.PoolOptions
 import io.vertx.core.http.RequestOptions
 import io.vertx.core.json.JsonObject
@@ -90,13 +91,14 @@
             }
         }
 
-    /** Asks the server for its status; returns `null` when it does not answer. */
+    /** Asks the server for its status; returns `null` when it does not answer, or answers with a failure. */
     suspend fun status(): BackendStatus? =
         withTimeoutOrNull(statusTimeout) {
             try {
                 val request = pooled.request(HttpMethod.GET, STATUS_PATH).coAwait()
                 // The handler of the body is set with the head, as a body that arrives before it is lost.
-                val body = JsonObject(request.send().compose { it.body() }.coAwait())
+                val response = request.send().expecting(HttpResponseExpectation.SC_OK)
+                val body = JsonObject(response.compose { it.body() }.coAwait())
                 BackendStatus(body.getString("incarnation", ""), body.getInteger("running", 0))
             } catch (exception: java.io.IOException) {
                 null
--- a/agent/src/test/kotlin/io/kumquattrail/agent/backend/BackendClientSpec.kt
+++ b/agent/src/test/kotlin/io/kumquattrail/agent/backend/BackendClientSpec.kt
@@ -92,6 +92,12 @@
             }
         }
 
+        // A failing server would look idle, and the agent would take it for another incarnation.
+        it("reads no status from a response that is a failure") {
+            server.response = "HTTP/1.1 500 Error\r\n$REST"
+            withClient { it.status() } shouldBe null
+        }
+
         // A check that is too strict would turn good answers away.
         it("passes on a well-formed response, after an interim one and with trailers") {
             server.response =
