Take no data of a peer from a failure

What was seen: a gateway counted whatever listened at a peer's address as alive, and took load, departures and the configuration from it, when it sent status 500 with a body in the right format.

Cause: the exchange did not look at the status code, as the readers of the configuration service and of ranks do.

Evidence: two new tests with a peer that answers with status 500 fail on and pass with this commit.

--- a/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerExchange.kt
+++ b/forward/src/main/kotlin/io/kumquattrail/forward/peer/PeerExchange.kt
@@ -22,6 +22,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.random.Random
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -114,8 +115,8 @@
         // A gateway that starts, or that was cut off from the peer, may have missed any of its reports.
         val isNew = peer !in alivePeers(sentAt)
         val request = HttpMessage("POST", EXCHANGE_PATH, body = localMessage(withAllSuspects = isNew).encode())
-        val response = caller.call(address, request, EXCHANGE_TIMEOUT) as? CallResult.Answered ?: return
-        val message = decodeMessage(response.reply.body, peer) ?: return
+        val body = call(address, request, EXCHANGE_TIMEOUT) ?: return
+        val message = decodeMessage(body, peer) ?: return
         onMessage(message)
         fetchConfiguration(address, message)
         if (message.configurationVersion == state.configuration?.version && message.confirmedAge.isFinite()) {
@@ -130,10 +131,7 @@
         message: PeerMessage,
     ) {
         if (message.configurationVersion <= (state.configuration?.version ?: 0)) return
-        val response =
-            caller.call(address, HttpMessage("GET", CONFIGURATION_PATH), DOCUMENT_TIMEOUT) as? CallResult.Answered
-                ?: return
-        val document = response.reply.body
+        val document = call(address, HttpMessage("GET", CONFIGURATION_PATH), DOCUMENT_TIMEOUT) ?: return
         val configuration = decodeConfiguration(document)
         if (configuration == null) {
             state.log.log("configuration_unusable", "peer" to address, "bytes" to document.size)
@@ -143,6 +141,16 @@
         state.publish(configuration, source = "peer $address")
     }
 
+    /** Returns the body of the response to [request], or `null` if there is none in time or it is a failure. */
+    private suspend fun call(
+        address: NetworkAddress,
+        request: HttpMessage,
+        timeout: Duration,
+    ): ByteArray? {
+        val reply = (caller.call(address, request, timeout) as? CallResult.Answered)?.reply
+        return reply?.takeIf { it.status == OK }?.body
+    }
+
     private fun decodeMessage(
         bytes: ByteArray,
         peer: ProcessName?,
--- a/forward/src/test/kotlin/io/kumquattrail/forward/peer/PeerExchangeSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/peer/PeerExchangeSpec.kt
@@ -5,6 +5,8 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldNotContain
 import io.kumquattrail.decision.identity.ProcessName
 import io.kumquattrail.decision.identity.ServerName
 import io.kumquattrail.decision.identity.ZoneName
@@ -17,6 +19,9 @@
 import io.kumquattrail.forward.process.GatewayFixture
 import io.kumquattrail.forward.process.GatewayState
 import io.kumquattrail.forward.process.ProcessClock
+import io.kumquattrail.forward.process.ScriptedServer
+import io.kumquattrail.forward.process.response
+import io.kumquattrail.forward.process.send
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import java.io.ByteArrayOutputStream
@@ -36,7 +41,7 @@
             PeerMessage(
                 process = PEER,
                 members = listOf(PEER),
-                configurationVersion = 1,
+                configurationVersion = 2,
                 confirmedAge = Duration.ZERO,
                 inProgress = emptyMap(),
                 stopping = stopping,
@@ -78,6 +83,41 @@
             }
         }
 
+        describe("a peer that answers with a failure") {
+            fun peer(
+                exchangeStatus: String,
+                configurationStatus: String,
+            ) = ScriptedServer { request, socket ->
+                val isExchange = "/exchange " in request.head
+                val body = if (isExchange) message(stopping = false).encode().decodeToString() else "document"
+                socket.send(response(request, body, status = if (isExchange) exchangeStatus else configurationStatus))
+                true
+            }
+
+            // Whatever listens at a peer's address would be counted as a gateway, and its data taken for a peer's.
+            it("is not counted as alive, whatever the body says") {
+                peer(exchangeStatus = "500 Error", configurationStatus = "200 OK").use { server ->
+                    val seed = ProcessName("127.0.0.1:${server.port}")
+                    GatewayFixture(servers = emptyList(), seeds = listOf(seed)).use { fixture ->
+                        server.awaitRequests(2)
+                        fixture.log() shouldNotContain "peer_alive"
+                    }
+                }
+            }
+
+            it("gives no configuration, whatever the body says") {
+                peer(exchangeStatus = "200 OK", configurationStatus = "500 Error").use { server ->
+                    val seed = ProcessName("127.0.0.1:${server.port}")
+                    GatewayFixture(servers = emptyList(), confirmed = false, seeds = listOf(seed)).use { fixture ->
+                        server.awaitRequests(4)
+                        val log = fixture.log()
+                        log shouldContain "peer_alive"
+                        log shouldNotContain "configuration_unusable"
+                    }
+                }
+            }
+        }
+
         describe("a peer that is shutting down") {
             it("a peer that sends messages while it is stopping is logged once as stopping and not counted as alive") {
                 val output = ByteArrayOutputStream()
