--- a/forward/src/test/kotlin/io/kumquattrail/forward/process/MalformedResponses.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/process/MalformedResponses.kt
@@ -15,7 +15,7 @@
     val fault: String,
     private val write: (Meaning, fields: String) -> String,
 ) {
-    /** Returns the bytes of the response to the request [id] as text. */
+    /** Returns the response to the request [id], one character for each byte. */
     fun to(
         id: String?,
         meaning: Meaning,
@@ -30,9 +30,9 @@
     text.map { if (it in ' '..'~') it.toString() else "<%02x>".format(it.code) }.joinToString("")
 
 private fun statusLine(line: (Meaning) -> String) =
-    MalformedResponse(
-        printable(line(Meaning.ANSWER)),
-    ) { meaning, fields -> "${line(meaning)}\r\n$fields$LENGTH\r\n$BODY" }
+    MalformedResponse(printable(line(Meaning.ANSWER))) { meaning, fields ->
+        "${line(meaning)}\r\n$fields$LENGTH\r\n$BODY"
+    }
 
 private fun field(line: String) =
     MalformedResponse(printable(line)) { meaning, fields ->
@@ -45,9 +45,9 @@
     }
 
 private fun length(lines: String) =
-    MalformedResponse(
-        printable(lines),
-    ) { meaning, fields -> "HTTP/1.1 ${meaning.status}\r\n$fields$lines\r\n\r\n$BODY" }
+    MalformedResponse(printable(lines)) { meaning, fields ->
+        "HTTP/1.1 ${meaning.status}\r\n$fields$lines\r\n\r\n$BODY"
+    }
 
 private fun chunks(
     bytes: String,
@@ -60,8 +60,10 @@
 
 private fun trailer(line: String) = chunks("${chunk(BODY)}0\r\n$line\r\n\r\n")
 
+/** Bytes that neither a name nor a value of a field may have. */
 private val CONTROLS = listOf('\u0000', '\u0001', '\u000b', '\u007f', '\r')
 
+/** Size of a chunk that holds the body, as it is written. */
 private val SIZE = BODY.length.toString(16)
 
 /** Responses with a malformed head, by the part in which the fault is. */
