--- a/forward/src/test/kotlin/io/kumquattrail/forward/peer/PeerMessageSpec.kt
+++ b/forward/src/test/kotlin/io/kumquattrail/forward/peer/PeerMessageSpec.kt
@@ -4,6 +4,7 @@
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import io.kumquattrail.decision.catalogue.Departure
+import io.kumquattrail.decision.identity.GroupName
 import io.kumquattrail.decision.identity.ProcessName
 import io.kumquattrail.decision.identity.ServerName
 import io.kumquattrail.decision.ratelimit.RateLimitReport
@@ -48,6 +49,21 @@
             }
         }
 
+        // Servers and ranks choose these names, and a message that a peer cannot read would end the exchange with it.
+        describe("a message with unusual names") {
+            listOf("\u0000\r\n", "\"\\{", "\u007F\u2028", "漢\uD83D\uDE00").forEach { name ->
+                it("holds the same names after it has been decoded: ${name.map { it.code.toString(16) }}") {
+                    val message =
+                        message(parts = 0).copy(
+                            inProgress = mapOf(ServerName(name) to 3),
+                            departures = mapOf(ServerName(name) to Departure(revision = 12, age = 1_500.milliseconds)),
+                            groups = mapOf(ServerName(name) to GroupName(name)),
+                        )
+                    PeerMessage.decode(message.encode()) shouldBe message
+                }
+            }
+        }
+
         describe("a message with request rate limits") {
             it("holds the same limits and ends after it has been decoded") {
                 val limits =
